--- a/crew/member.go
+++ b/crew/member.go
@@ -69,6 +69,9 @@
 	// Load is the newest report; Load.At tells its age and is zero before the
 	// first one.
 	Load kiln.LoadReport
+	// ColdUntil is the time until which a server that has just started is slow;
+	// zero if it isn't known to be.
+	ColdUntil time.Time
 
 	leavingSince time.Time
 }
--- a/firing/deps.go
+++ b/firing/deps.go
@@ -119,6 +119,8 @@
 	// WaitMS bounds the wait for an engine of a request that can't meet its
 	// targets even at once, and of every request without a queue.
 	WaitMS int `json:"wait_ms"`
+	// RetryAfterMS is what refused callers are told to wait, in milliseconds.
+	RetryAfterMS int `json:"retry_after_ms"`
 	// MarginMS is kept between the expected first token and its target.
 	MarginMS int `json:"margin_ms"`
 	// Policy switches mechanisms off, for comparison.
@@ -138,28 +140,30 @@
 // DefaultConfig returns the settings in use when none are given.
 func DefaultConfig() Config {
 	return Config{
-		Tries:      4,
-		Resumes:    2,
-		ReserveMS:  200,
-		HoldMS:     5000,
-		PrefillMS:  500,
-		TransferMS: 100,
-		StallMS:    500,
-		WaitMS:     2000,
-		MarginMS:   20,
+		Tries:        4,
+		Resumes:      2,
+		ReserveMS:    200,
+		HoldMS:       5000,
+		PrefillMS:    500,
+		TransferMS:   100,
+		StallMS:      500,
+		WaitMS:       2000,
+		RetryAfterMS: 1000,
+		MarginMS:     20,
 	}
 }
 
 // Check records the values that are not allowed.
 func (c Config) Check(p *settings.Problems) {
 	p.Positive("tries", c.Tries)
-	p.Positive("resumes", c.Resumes)
+	p.Add(c.Resumes >= 0, "resumes", c.Resumes, "a whole number of at least 0")
 	p.Positive("reserve_ms", c.ReserveMS)
 	p.Positive("hold_ms", c.HoldMS)
 	p.Positive("prefill_ms", c.PrefillMS)
 	p.Positive("transfer_ms", c.TransferMS)
 	p.Positive("stall_ms", c.StallMS)
 	p.Positive("wait_ms", c.WaitMS)
+	p.Positive("retry_after_ms", c.RetryAfterMS)
 	p.Add(c.MarginMS >= 0, "margin_ms", c.MarginMS, "a whole number of at least 0")
 }
 
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -26,7 +26,11 @@
 	sent *receipt.Sent
 	// lost is set when a prefill's answer is missing.
 	lost bool
-	turn Turn
+	// runs counts the engines that may have run a strict request, answer is the
+	// last failure that one of them answered with.
+	runs   int
+	answer *kiln.AnswerError
+	turn   Turn
 	// tooLong is set when the request can't meet its targets even at once.
 	tooLong bool
 	// tries counts attempts; excluded are the engines that failed.
@@ -144,6 +148,9 @@
 		}
 		g.runner.deps.Metrics.Count("retries", string(reason.Step))
 	case verdictAgain:
+		if g.req.Strict && reason.Step == receipt.StepPrefill && !g.mayRetry() {
+			return g.end(reason)
+		}
 		g.tries--
 		if reason.Step == receipt.StepPrefill {
 			// The end of the context is told below.
@@ -174,6 +181,13 @@
 			Reason:    reason,
 		}
 	}
+	if g.answer != nil {
+		return receipt.Answered{
+			Status: g.answer.Status,
+			Header: g.answer.Header,
+			Body:   g.answer.Body,
+		}
+	}
 	if g.sent == nil {
 		return g.unsent.Refuse(reason)
 	}
@@ -222,6 +236,8 @@
 		Pools:        g.req.Pools,
 		Servers:      g.req.Servers,
 		Excluded:     g.excluded,
+		AnswerBytes:  g.req.AnswerBytes,
+		MemoryTokens: g.req.MemoryTokens,
 		Waited:       time.Since(g.started),
 		Patient:      g.isPatient(),
 	}
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -57,13 +57,44 @@
 // failDecode judges the error of a decode. The prefill is lost with the
 // engine's memory, so a refusal counts as a failure too.
 func (a *attempt) failDecode(ctx context.Context, address string, err error) (verdict, receipt.Reason) {
+	a.g.noteRun(err)
 	result, reason := a.fail(ctx, receipt.StepDecode, address, err)
 	if result == verdictAgain {
 		result = verdictRetry
 	}
+	if result == verdictRetry && !a.g.mayRunAgain() {
+		result = verdictStop
+	}
 	return result, reason
 }
 
+// noteRun records that an engine may have run a strict request.
+func (g *generation) noteRun(err error) {
+	if !g.req.Strict || isRefusal(err) || isNotSent(err) {
+		return
+	}
+	g.lost = true
+	g.runs++
+	var answer *kiln.AnswerError
+	if errors.As(err, &answer) {
+		g.answer = answer
+	}
+}
+
+// mayRunAgain tells whether another engine may run a request.
+func (g *generation) mayRunAgain() bool {
+	if !g.req.Strict || g.runs == 0 {
+		return true
+	}
+	return g.req.Resumable && g.runs < g.req.Runs
+}
+
+// isNotSent tells whether nothing of a call went out.
+func isNotSent(err error) bool {
+	var notSent *kiln.NotSentError
+	return errors.As(err, &notSent)
+}
+
 // stream relays one connection until the last frame, nil, or an error. A timer
 // breaks it when no token comes.
 func (a *attempt) stream(ctx context.Context, address string) error {
--- a/firing/request.go
+++ b/firing/request.go
@@ -48,6 +48,26 @@
 	// Pools and Servers restrict the engines; empty allows all.
 	Pools   []string
 	Servers []string
+	// Strict requests are passed on as they are to engines that don't count a
+	// prefill as running them, and count every decode that they took: a decode that
+	// may have started is repeated only if the request is Resumable, at most on
+	// Runs engines, and not refused as not run.
+	Strict    bool
+	Resumable bool
+	Runs      int
+	// AnswerBytes is the expected length of the answer, 0 if it isn't known.
+	AnswerBytes int
+	// MemoryTokens is the memory that the decode engine sets aside; 0 for the
+	// prompt and MaxTokens.
+	MemoryTokens int
+}
+
+// memoryTokens returns the memory that the decode engine sets aside.
+func (r Request) memoryTokens() int {
+	if r.MemoryTokens > 0 {
+		return r.MemoryTokens
+	}
+	return r.Prompt.Tokens + r.MaxTokens
 }
 
 // Sink receives the tokens of one generation, in order and without gaps.
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -111,7 +111,7 @@
 				return d, &receipt.Reason{
 					Code:       receipt.CodeOverloaded,
 					Step:       receipt.StepPlace,
-					RetryAfter: time.Second,
+					RetryAfter: milliseconds(g.runner.cfg.RetryAfterMS),
 				}
 			}
 			return d, nil
@@ -144,7 +144,7 @@
 		return &receipt.Reason{
 			Code:       receipt.CodeOverloaded,
 			Step:       receipt.StepPlace,
-			RetryAfter: time.Second,
+			RetryAfter: milliseconds(g.runner.cfg.RetryAfterMS),
 		}
 	}
 	return g.pause(ctx, d)
--- a/firing/steps.go
+++ b/firing/steps.go
@@ -19,7 +19,7 @@
 		Attempt:   a.id,
 		Owner:     a.g.owner,
 		Model:     a.g.req.Model,
-		Tokens:    a.g.req.Prompt.Tokens + a.g.req.MaxTokens,
+		Tokens:    a.g.req.memoryTokens(),
 		Priority:  a.g.req.Priority,
 		ReadyInMS: a.plan.Ready().Milliseconds(),
 		HoldMS:    int64(cfg.HoldMS),
@@ -59,9 +59,10 @@
 		a.booking.Prefilled(a.g.req.Prompt.Blocks, time.Now())
 		return kv, verdictDone, receipt.Reason{}
 	}
-	if isRefusal(err) {
+	switch {
+	case isRefusal(err):
 		a.releaseExport()
-	} else {
+	case !a.g.req.Strict:
 		a.g.lost = true
 	}
 	result, reason := a.fail(ctx, receipt.StepPrefill, address, err)
--- a/kiln/engine.go
+++ b/kiln/engine.go
@@ -168,6 +168,10 @@
 	// Pieces and PiecesUsed count memory of PieceTokens tokens each.
 	Pieces     int `json:"pieces"`
 	PiecesUsed int `json:"pieces_used"`
+	// KVTokens and KVTokensUsed are the memory in tokens, of engines that tell it
+	// exactly; KVTokens is 0 for the others.
+	KVTokens     int `json:"kv_tokens,omitempty"`
+	KVTokensUsed int `json:"kv_tokens_used,omitempty"`
 	// QueuedTokens is the number of prompt tokens waiting for prefill.
 	QueuedTokens int `json:"queued_tokens"`
 	// StepMS is the recent time of one decode step, in milliseconds.
--- a/kiln/error.go
+++ b/kiln/error.go
@@ -1,6 +1,9 @@
 package kiln
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // ErrorCode is an engine's reason for a refusal.
 type ErrorCode string
@@ -53,3 +56,18 @@
 
 // Unwrap returns the underlying error.
 func (e *NotSentError) Unwrap() error { return e.Err }
+
+// AnswerError is an engine's final answer to a decode that isn't a stream: the
+// engine took the request and failed it.
+type AnswerError struct {
+	// Peer is the engine's address.
+	Peer   string
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Error describes the answer with its peer.
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("decode: peer %s: answered with status %d", e.Peer, e.Status)
+}
--- a/quotation/book.go
+++ b/quotation/book.go
@@ -172,6 +172,7 @@
 		run:  run,
 	}
 	booking.run.Decode.tally.slots.add(1, now)
+	booking.run.Decode.tally.memory.add(int64(run.MemoryTokens), now)
 	booking.run.Prefill.tally.tokens.add(int64(run.ComputedTokens), now)
 	booking.slot.Store(true)
 	booking.prefill.Store(true)
@@ -215,7 +216,9 @@
 	k.TransferEnded()
 	k.transfer.Store(false)
 	k.run.Decode.tally.slots.add(-1, now)
+	k.run.Decode.tally.memory.add(-int64(k.run.MemoryTokens), now)
 	decode.tally.slots.add(1, now)
+	decode.tally.memory.add(int64(k.run.MemoryTokens), now)
 	k.run.Decode = decode
 }
 
@@ -243,6 +246,7 @@
 		return
 	}
 	k.run.Decode.tally.slots.add(-1, now)
+	k.run.Decode.tally.memory.add(-int64(k.run.MemoryTokens), now)
 	if k.reserved.Load() {
 		k.run.Decode.tally.fullUntil.Store(0)
 	}
--- a/quotation/decision.go
+++ b/quotation/decision.go
@@ -34,7 +34,13 @@
 	OutputTokens int
 	// PromptBytes is the length of the prompt's text.
 	PromptBytes int
-	Class       string
+	// AnswerBytes is the expected length of the answer on the wire; 0 takes it
+	// from OutputTokens.
+	AnswerBytes int
+	// MemoryTokens is the memory that the request may need on its decode engine,
+	// in tokens; 0 if it isn't known.
+	MemoryTokens int
+	Class        string
 	// DataCentre is where the request came in, Region its region; empty takes
 	// it from the servers of the data centre.
 	DataCentre string
@@ -70,6 +76,8 @@
 	Transfer time.Duration
 	// KVBytes is the expected size of the KV cache.
 	KVBytes int64
+	// MemoryTokens is the memory set aside on the decode engine.
+	MemoryTokens int
 	// CrossRegionBytes is the traffic that the request would cost on the link
 	// between regions; 0 when it stays in its region.
 	CrossRegionBytes int64
--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -18,6 +18,8 @@
 	Pool       string
 	Role       kiln.Role
 	Slots      int
+	// KVTokens is the memory for prompts and output in tokens; 0 if it isn't known.
+	KVTokens int
 	// Rate is the prefill rate in tokens per second.
 	Rate float64
 
@@ -25,6 +27,7 @@
 	// instance's own part at the time of the report.
 	usedElsewhere   int64
 	queuedElsewhere int64
+	memoryElsewhere int64
 	piecesFree      int64
 	reported        time.Time
 	tally           *tally
@@ -39,6 +42,26 @@
 	return int(elsewhere + w.tally.slots.value.Load())
 }
 
+// Memory returns the estimate of the memory in use, in tokens.
+func (w *Worker) Memory() int {
+	return int(w.memoryElsewhere + w.tally.memory.value.Load())
+}
+
+// fits tells whether an engine has memory for so many tokens more.
+func (w *Worker) fits(tokens int) bool {
+	return w.KVTokens == 0 || tokens == 0 || w.Memory()+tokens <= w.KVTokens
+}
+
+// fill returns the part of an engine that is in use, by slots or by memory,
+// whichever is more.
+func (w *Worker) fill(now time.Time) float64 {
+	part := float64(w.Used(now)) / float64(max(1, w.Slots))
+	if w.KVTokens > 0 {
+		part = max(part, float64(w.Memory())/float64(w.KVTokens))
+	}
+	return part
+}
+
 // Queued returns the estimate of the prompt tokens that wait for prefill at a
 // time. What was told or reported has been worked off since.
 func (w *Worker) Queued(now time.Time) int {
@@ -200,11 +223,13 @@
 	if load.TokensPerSecond > 0 {
 		worker.Rate = load.TokensPerSecond
 	}
+	worker.KVTokens = load.KVTokens
 	if load.At.IsZero() {
 		return worker
 	}
 	worker.usedElsewhere = max(0, int64(load.SlotsUsed)-own.slots.at(load.At))
 	worker.queuedElsewhere = max(0, int64(load.QueuedTokens)-own.tokens.at(load.At))
+	worker.memoryElsewhere = max(0, int64(load.KVTokensUsed)-own.memory.at(load.At))
 	return worker
 }
 
--- a/quotation/place.go
+++ b/quotation/place.go
@@ -21,6 +21,10 @@
 	// sampleSize bounds the engines that are compared for one request.
 	sampleSize  = 64
 	blockTokens = kiln.BlockBytes / 4
+	// remoteDelay is added to the expected time of a prefill in another data
+	// centre of the region: two round trips of about 1.4 ms each way, and the
+	// transfer at half the rate.
+	remoteDelay = 6 * time.Millisecond
 )
 
 // view is the state that one decision reads.
@@ -123,7 +127,7 @@
 		if !v.hasRoom(w, req, now) {
 			continue
 		}
-		score := float64(w.Used(v.now)) + spreadSlots*spread(seed, i)
+		score := w.fill(v.now)*float64(w.Slots) + spreadSlots*spread(seed, i)
 		if w.DataCentre != req.DataCentre {
 			score += remoteSlots
 		}
@@ -140,7 +144,7 @@
 }
 
 func (v view) hasRoom(w *Worker, req *Request, now int64) bool {
-	room := v.cfg.Policy.PrefillFirst || !w.full(v.now, v.spare(w, req))
+	room := v.cfg.Policy.PrefillFirst || !w.full(v.now, v.spare(w, req)) && w.fits(req.MemoryTokens)
 	return room && !w.failed(now) && allowed(w, req)
 }
 
@@ -254,10 +258,14 @@
 		Queue:          seconds(float64(w.Queued(v.now)) / w.Rate),
 		Compute:        seconds(float64(computed) / w.Rate),
 		KVBytes:        bytes,
+		MemoryTokens:   req.MemoryTokens,
 	}
 	if w == decode {
 		return run
 	}
+	if w.DataCentre != req.DataCentre {
+		run.Queue += remoteDelay
+	}
 	pending := bytes
 	if !v.cfg.Policy.NoTransfer {
 		pending += v.pending(w, decode)
@@ -281,5 +289,8 @@
 // region: its prompt and its frames.
 func crossRegionBytes(req *Request) int64 {
 	const bytesPerFrame = 120
+	if req.AnswerBytes > 0 {
+		return int64(req.PromptBytes) + int64(req.AnswerBytes)
+	}
 	return int64(req.PromptBytes) + int64(req.OutputTokens)*bytesPerFrame
 }
--- a/quotation/tally.go
+++ b/quotation/tally.go
@@ -62,6 +62,8 @@
 	// KV cache on the engine's link.
 	slots  counter
 	tokens counter
+	// memory counts tokens set aside on the engine.
+	memory counter
 	bytes  atomic.Int64
 	// others is what other instances have told of their load, nil before.
 	others atomic.Pointer[told]
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -22,6 +22,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -118,6 +119,8 @@
 	Status int
 	// ContentType is the media type of Body.
 	ContentType string
+	// Header holds the answer's headers where it is passed on as it is, else nil.
+	Header http.Header
 	// Body is the whole answer.
 	Body []byte
 }
--- a/workshop/caller.go
+++ b/workshop/caller.go
@@ -86,6 +86,19 @@
 	Timeout time.Duration
 	// RetryPercent is the caller's budget, zero for the configured one.
 	RetryPercent float64
+	// Tries bounds the servers that may run the call, zero for the configured
+	// number.
+	Tries int
+	// RetryErrors also retries repeatable calls that a server answered with 500.
+	RetryErrors bool
+}
+
+// maxTries bounds the tries of a call.
+func (c *Caller) maxTries(call Call) int {
+	if call.Tries > 0 {
+		return call.Tries
+	}
+	return c.deps.Config.MaxTries
 }
 
 // CallerDeps are the dependencies of a Caller.
@@ -93,6 +106,17 @@
 	Config CallerConfig
 	// Metrics counts retries and hedges; may be nil.
 	Metrics *metrics.Metrics
+	// Retries replaces the budgets of the callers by one for each service; may be
+	// nil.
+	Retries Retries
+}
+
+// Retries is a budget of retries by service.
+type Retries interface {
+	// First records a call.
+	First(service string)
+	// Take spends a retry and tells whether the budget allows it.
+	Take(service string) bool
 }
 
 // Caller sends calls to the servers of a service, with retries and hedges
@@ -129,7 +153,7 @@
 		Err:  errNoServer,
 	}
 	for n, server := range call.Servers[:min(len(call.Servers), c.deps.Config.MaxTries)] {
-		if n > 0 && !c.spend(spent, "retry") {
+		if n > 0 && !c.spend(spent, call.Service, "retry") {
 			reason.Err = errors.Join(errBudget, reason.Err)
 			break
 		}
@@ -162,7 +186,7 @@
 		caller:  c,
 		call:    call,
 		account: c.begin(call),
-		results: make(chan result, c.deps.Config.MaxTries),
+		results: make(chan result, c.maxTries(call)),
 	}
 	return race.run(ctx, unsent.Send())
 }
@@ -181,13 +205,22 @@
 		percent = c.deps.Config.Budget.Percent
 	}
 	a := c.accounts.of(call.Caller, call.Service)
+	if c.deps.Retries != nil {
+		c.deps.Retries.First(call.Service)
+		return a
+	}
 	a.first(time.Now(), percent/100, c.deps.Config.Budget)
 	return a
 }
 
 // spend takes a retry or hedge from the budget.
-func (c *Caller) spend(a *account, kind string) bool {
-	ok := a.take(time.Now(), c.deps.Config.Budget)
+func (c *Caller) spend(a *account, service, kind string) bool {
+	ok := false
+	if c.deps.Retries != nil {
+		ok = c.deps.Retries.Take(service)
+	} else {
+		ok = a.take(time.Now(), c.deps.Config.Budget)
+	}
 	if c.deps.Metrics != nil {
 		detail := kind
 		if !ok {
@@ -240,6 +273,7 @@
 	return receipt.Answered{
 		Status:      r.answer.Status,
 		ContentType: r.answer.Header.Get("Content-Type"),
+		Header:      r.answer.Header,
 		Body:        r.answer.Body,
 	}
 }
@@ -251,11 +285,13 @@
 
 // isFailure tells whether another server may do better: no answer came, or one
 // that says that the server can't serve now.
-func (r result) isFailure() bool {
+func (r result) isFailure(call Call) bool {
 	if r.err != nil {
 		return true
 	}
 	switch r.answer.Status {
+	case http.StatusInternalServerError:
+		return call.RetryErrors
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return true
 	}
--- a/workshop/race.go
+++ b/workshop/race.go
@@ -35,7 +35,7 @@
 			r.again(ctx, "hedge")
 		case last := <-r.results:
 			r.open--
-			if !last.isFailure() {
+			if !last.isFailure(r.call) {
 				return last.answered()
 			}
 			r.maybeRan = r.maybeRan || !last.notStarted()
@@ -51,10 +51,10 @@
 
 // again sends another try if servers, tries and budget are left.
 func (r *race) again(ctx context.Context, kind string) bool {
-	if r.tries >= r.caller.deps.Config.MaxTries || r.tries >= len(r.call.Servers) {
+	if r.tries >= r.caller.maxTries(r.call) || r.tries >= len(r.call.Servers) {
 		return false
 	}
-	if !r.caller.spend(r.account, kind) {
+	if !r.caller.spend(r.account, r.call.Service, kind) {
 		return false
 	}
 	r.launch(ctx)
