--- a/cmd/balsamlock-gateway/main.go
+++ b/cmd/balsamlock-gateway/main.go
@@ -15,8 +15,12 @@
 
 func main() {
 	cfg := platform.DefaultConfig()
-	program.Main("balsamlock-gateway", &cfg, func(g *run.Group) error {
-		instance := platform.New(platform.Deps{Config: cfg})
+	program.MainWithFile("balsamlock-gateway", &cfg, func(g *run.Group, file string) error {
+		program.LogToStdout("balsamlock-gateway")
+		instance := platform.New(platform.Deps{
+			Config: cfg,
+			File:   file,
+		})
 		g.Add(instance.Run, instance.Stop)
 		return nil
 	})
--- a/common/program/program.go
+++ b/common/program/program.go
@@ -54,10 +54,16 @@
 // Main reads flags and settings into cfg, lets setup add actors to the run
 // group and runs it until an actor ends or a signal arrives, then exits.
 func Main(name string, cfg any, setup func(g *run.Group) error) {
+	MainWithFile(name, cfg, func(g *run.Group, _ string) error { return setup(g) })
+}
+
+// MainWithFile is Main for programs that read their settings file again while
+// they run; setup gets its path.
+func MainWithFile(name string, cfg any, setup func(g *run.Group, file string) error) {
 	os.Exit(start(name, os.Args[1:], os.Stdout, os.Stderr, cfg, setup))
 }
 
-func start(name string, args []string, stdout, stderr io.Writer, cfg any, setup func(g *run.Group) error) int {
+func start(name string, args []string, stdout, stderr io.Writer, cfg any, setup func(g *run.Group, file string) error) int {
 	var opts Options
 	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := parser.AddGroup("Options", "", &opts); err != nil {
@@ -83,7 +89,7 @@
 		_, _ = fmt.Fprintln(stdout, "settings ok:", opts.Settings)
 		return ExitOK
 	}
-	return runGroup(name, setup)
+	return runGroup(name, func(g *run.Group) error { return setup(g, opts.Settings) })
 }
 
 func usage(err error, stdout, stderr io.Writer) int {
