firing: Wait for an engine before a begun stream is cut

Its log shows "place: overloaded": a preempted stream was silent for the stall time, was broken off, and found no engine within the 60 ms that new requests wait.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -119,6 +119,9 @@
 	// WaitMS bounds the wait for an engine of a request that can't meet its
 	// targets even at once, and of every request without a queue.
 	WaitMS int `json:"wait_ms"`
+	// ResumeWaitMS bounds the wait for an engine that goes on with a stream which
+	// broke off, in milliseconds since its last token; 0 for WaitMS.
+	ResumeWaitMS int `json:"resume_wait_ms"`
 	// RetryAfterMS is what refused callers are told to wait, in milliseconds.
 	RetryAfterMS int `json:"retry_after_ms"`
 	// MarginMS is kept between the expected first token and its target.
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -93,6 +93,9 @@
 	if g.lastPrefill.After(since) {
 		since = g.lastPrefill
 	}
+	if g.next > 0 && g.runner.cfg.ResumeWaitMS > 0 {
+		return g.lastToken.Add(milliseconds(g.runner.cfg.ResumeWaitMS))
+	}
 	if g.lastToken.After(since) {
 		since = g.lastToken
 	}
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -22,7 +22,6 @@
 import (
 	"errors"
 	"fmt"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -120,7 +119,7 @@
 	// ContentType is the media type of Body.
 	ContentType string
 	// Header holds the answer's headers where it is passed on as it is, else nil.
-	Header http.Header
+	Header map[string][]string
 	// Body is the whole answer.
 	Body []byte
 }
