intake, quotation, firing: Admit by room for growth, queue by cost and lateness

GET /api/report of the engines (trial) showed why: a reservation stays set aside for the whole run, about 30 k of 85 k tokens held and unused, while a third of the runs outgrew their hint x 1.3 and 52 were preempted and read again. Conclusion: memory over a stream's life was the bound; next is its share between roles.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -44,6 +44,8 @@
 type Patience struct {
 	// Until is the time at which the request is refused; zero for never.
 	Until time.Time
+	// Latest is the time up to which a late start is still of use; zero for never.
+	Latest time.Time
 	// TooLong is set when it can't meet its targets even without waiting; it
 	// gives way to all others then.
 	TooLong bool
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -118,13 +118,14 @@
 	}
 	return Patience{
 		Until:   g.started.Add(left),
+		Latest:  g.req.Latest,
 		TooLong: g.tooLong,
 	}
 }
 
 // isLate tells whether a run is expected to miss the target of the first token.
 func (g *generation) isLate(run quotation.Run) bool {
-	if !g.hasTarget() || g.tooLong || g.next > 0 || g.tries > 0 {
+	if !g.hasTarget() || !g.req.Latest.IsZero() || g.tooLong || g.next > 0 || g.tries > 0 {
 		return false
 	}
 	expected := time.Since(g.started) + run.Ready() + firstStep
--- a/firing/queue.go
+++ b/firing/queue.go
@@ -44,7 +44,28 @@
 	return turn, nil
 }
 
+// BacklogQueue is a Queue of intake's backlog.
+type BacklogQueue struct{ backlog *intake.Backlog }
+
+// NewBacklogQueue returns a queue for a Runner.
+func NewBacklogQueue(backlog *intake.Backlog) *BacklogQueue { return &BacklogQueue{backlog: backlog} }
+
+// Enter waits until it is the request's turn to be placed.
+func (q *BacklogQueue) Enter(ctx context.Context, req Request, patience Patience) (Turn, *receipt.Reason) {
+	turn, reason := q.backlog.Enter(ctx, intake.Job{
+		Cost:   req.cost(),
+		OnTime: patience.Until,
+		Latest: patience.Latest,
+	})
+	if reason != nil {
+		return nil, reason
+	}
+	return turn, nil
+}
+
 var (
 	_ Queue = (*FairQueue)(nil)
+	_ Queue = (*BacklogQueue)(nil)
+	_ Turn  = (*intake.JobTurn)(nil)
 	_ Turn  = (*intake.Turn)(nil)
 )
--- a/firing/request.go
+++ b/firing/request.go
@@ -55,11 +55,27 @@
 	Strict    bool
 	Resumable bool
 	Runs      int
+	// Latest is the time up to which a start is still of use though it misses
+	// FirstToken; zero for never.
+	Latest time.Time
 	// AnswerBytes is the expected length of the answer, 0 if it isn't known.
 	AnswerBytes int
 	// MemoryTokens is the memory that the decode engine sets aside; 0 for the
 	// prompt and MaxTokens.
 	MemoryTokens int
+	// Room is the memory that must be free on the decode engine beside that.
+	Room int
+	// Cost is the expected work in tokens, by which waiting requests are ordered;
+	// 0 for the memory set aside.
+	Cost int
+}
+
+// cost returns the expected work in tokens.
+func (r Request) cost() int {
+	if r.Cost > 0 {
+		return r.Cost
+	}
+	return r.memoryTokens()
 }
 
 // memoryTokens returns the memory that the decode engine sets aside.
--- a/firing/steps.go
+++ b/firing/steps.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/balsamlock/balsamlock/kiln"
+	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
 )
 
@@ -20,6 +21,7 @@
 		Owner:     a.g.owner,
 		Model:     a.g.req.Model,
 		Tokens:    a.g.req.memoryTokens(),
+		Room:      a.g.req.Room + a.g.spareTokens(a.plan.Decode),
 		Priority:  a.g.req.Priority,
 		ReadyInMS: a.plan.Ready().Milliseconds(),
 		HoldMS:    int64(cfg.HoldMS),
@@ -34,6 +36,19 @@
 	return a.fail(ctx, receipt.StepReserve, address, err)
 }
 
+// spareTokens is the memory that a strict request leaves free to others on its
+// engine: the engine itself checks that it is there, since other instances place
+// requests on it too.
+func (g *generation) spareTokens(decode *quotation.Worker) int {
+	if !g.req.Strict || !g.isPatient() {
+		return 0
+	}
+	return decode.KVTokens / spareMemory
+}
+
+// spareMemory is the part of an engine's memory that patient requests leave free.
+const spareMemory = 5
+
 // prefill has the prompt computed.
 func (a *attempt) prefill(ctx context.Context) (kiln.PrefillResult, verdict, receipt.Reason) {
 	address := a.plan.Prefill.Address
--- /dev/null
+++ b/intake/backlog.go
@@ -0,0 +1,364 @@
+package intake
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/balsamlock/balsamlock/common/settings"
+	"github.com/balsamlock/balsamlock/receipt"
+)
+
+// BacklogConfig holds the settings of a Backlog.
+type BacklogConfig struct {
+	// Placing is the number of requests that may look for an engine at one time.
+	Placing int `json:"placing"`
+	// LateSeconds bounds the late requests that wait, by the time in which they
+	// would be started at the recent rate.
+	LateSeconds float64 `json:"late_seconds"`
+	// ReturnMS is what callers are told to wait who are refused because too many
+	// wait, in milliseconds.
+	ReturnMS int `json:"return_ms"`
+}
+
+// DefaultBacklogConfig returns the settings in use when none are given.
+func DefaultBacklogConfig() BacklogConfig {
+	return BacklogConfig{
+		Placing:     2,
+		LateSeconds: 4,
+		ReturnMS:    4000,
+	}
+}
+
+// Check records the values that are not allowed.
+func (c BacklogConfig) Check(p *settings.Problems) {
+	p.Positive("placing", c.Placing)
+	p.Add(c.LateSeconds >= 0, "late_seconds", c.LateSeconds, "a number of at least 0")
+	p.Positive("return_ms", c.ReturnMS)
+}
+
+// Job is a request that waits in a Backlog.
+type Job struct {
+	// Cost is the expected work in tokens.
+	Cost int
+	// OnTime is the time up to which a start still meets the request's objective,
+	// Latest the time up to which a start is of use at all. With a zero Latest the
+	// request is refused once it would be late.
+	OnTime time.Time
+	Latest time.Time
+}
+
+// Backlog lets requests for engines wait for a start. It answers bursts that ask
+// for more than the engines' memory holds: among the requests that can still
+// meet their objective the cheapest goes first, so that as many callers as
+// possible are served in time; those that no longer can wait in order of arrival
+// for room that the others leave, and are refused at once when there are more of
+// them than can be started in a useful time.
+type Backlog struct {
+	cfg BacklogConfig
+
+	mu      sync.Mutex
+	onTime  []*JobTurn
+	late    []*JobTurn
+	placing int
+	// closedUntil is the time up to which no room is expected.
+	closedUntil time.Time
+	reopen      *time.Timer
+	starts      startRate
+}
+
+// NewBacklog returns an empty backlog.
+func NewBacklog(cfg BacklogConfig) *Backlog {
+	b := &Backlog{cfg: cfg}
+	b.starts.since = time.Now()
+	return b
+}
+
+// Waiting returns the number of requests that wait, and how many of them are
+// late.
+func (b *Backlog) Waiting() (all, late int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.onTime) + len(b.late), len(b.late)
+}
+
+// Wake lets the next request look for room at once.
+func (b *Backlog) Wake() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closedUntil = time.Time{}
+	b.grantLocked()
+}
+
+// Enter waits for the job's turn. A non-nil reason refuses it.
+func (b *Backlog) Enter(ctx context.Context, job Job) (*JobTurn, *receipt.Reason) {
+	t := &JobTurn{
+		backlog: b,
+		job:     job,
+		arrived: time.Now(),
+	}
+	if reason := t.queue(ctx); reason != nil {
+		return nil, reason
+	}
+	return t, nil
+}
+
+// JobTurn is one request in a backlog. It is used by one goroutine.
+type JobTurn struct {
+	backlog *Backlog
+	job     Job
+	arrived time.Time
+	granted chan struct{}
+	// isLate, placing and hurried are guarded by the backlog.
+	isLate  bool
+	placing bool
+	hurried bool
+	started bool
+}
+
+// Patient tells whether the request is late and leaves some room to others.
+func (t *JobTurn) Patient() bool {
+	t.backlog.mu.Lock()
+	defer t.backlog.mu.Unlock()
+	return t.isLate && !t.hurried
+}
+
+// Hurry puts the request before all others, without a time limit: engines have
+// worked for it already.
+func (t *JobTurn) Hurry() {
+	t.backlog.mu.Lock()
+	defer t.backlog.mu.Unlock()
+	t.hurried = true
+}
+
+// Wait gives up the turn because no room was found and waits for the next one,
+// which comes after d at the earliest unless room is reported before.
+func (t *JobTurn) Wait(ctx context.Context, d time.Duration) *receipt.Reason {
+	b := t.backlog
+	b.mu.Lock()
+	b.endPlacingLocked(t)
+	b.closeLocked(d)
+	b.mu.Unlock()
+	return t.queue(ctx)
+}
+
+// Placed ends the turn with a start; the next request may look for room.
+func (t *JobTurn) Placed() {
+	b := t.backlog
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !t.started {
+		t.started = true
+		b.starts.add(time.Now())
+	}
+	b.endPlacingLocked(t)
+	b.grantLocked()
+}
+
+// Close takes the request out of the backlog. It may be called more than once.
+func (t *JobTurn) Close() {
+	b := t.backlog
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.removeLocked(t)
+	b.endPlacingLocked(t)
+	b.grantLocked()
+}
+
+// queue waits for a grant; when the request turns late, it changes its place or
+// is refused.
+func (t *JobTurn) queue(ctx context.Context) *receipt.Reason {
+	b := t.backlog
+	b.mu.Lock()
+	reason := b.pushLocked(t, time.Now())
+	b.mu.Unlock()
+	for reason == nil {
+		limit, stop := t.limit()
+		select {
+		case <-t.granted:
+			stop()
+			return nil
+		case <-limit:
+			reason = b.expire(t, time.Now())
+		case <-ctx.Done():
+			reason = ended(ctx)
+		}
+		stop()
+	}
+	t.Close()
+	return reason
+}
+
+// limit returns a channel that receives when the request turns late or useless.
+func (t *JobTurn) limit() (<-chan time.Time, func()) {
+	t.backlog.mu.Lock()
+	until := t.job.OnTime
+	if t.isLate {
+		until = t.job.Latest
+	}
+	if t.hurried {
+		until = time.Time{}
+	}
+	t.backlog.mu.Unlock()
+	if until.IsZero() {
+		return nil, func() {}
+	}
+	timer := time.NewTimer(time.Until(until))
+	return timer.C, func() { timer.Stop() }
+}
+
+// pushLocked puts a request in its place.
+func (b *Backlog) pushLocked(t *JobTurn, now time.Time) *receipt.Reason {
+	t.granted = make(chan struct{})
+	if !t.isLate && !t.job.OnTime.IsZero() && !now.Before(t.job.OnTime) && !t.hurried {
+		if reason := b.turnLateLocked(t, now); reason != nil {
+			return reason
+		}
+	}
+	if t.isLate && !t.hurried {
+		b.late = insert(b.late, t, func(a, c *JobTurn) bool { return a.arrived.Before(c.arrived) })
+	} else {
+		b.onTime = insert(b.onTime, t, cheaper)
+	}
+	b.grantLocked()
+	return nil
+}
+
+// cheaper orders requests that can still be on time.
+func cheaper(a, c *JobTurn) bool {
+	if a.hurried != c.hurried {
+		return a.hurried
+	}
+	return a.job.Cost < c.job.Cost
+}
+
+func insert(list []*JobTurn, t *JobTurn, before func(a, c *JobTurn) bool) []*JobTurn {
+	at := len(list)
+	for at > 0 && before(t, list[at-1]) {
+		at--
+	}
+	return slices.Insert(list, at, t)
+}
+
+// turnLateLocked marks a request as late unless there are too many already.
+func (b *Backlog) turnLateLocked(t *JobTurn, now time.Time) *receipt.Reason {
+	if t.job.Latest.IsZero() || !now.Before(t.job.Latest) {
+		return b.overloaded()
+	}
+	if float64(len(b.late)) >= b.cfg.LateSeconds*b.starts.perSecond(now) {
+		return b.overloaded()
+	}
+	t.isLate = true
+	return nil
+}
+
+func (b *Backlog) overloaded() *receipt.Reason {
+	return &receipt.Reason{
+		Code:       receipt.CodeOverloaded,
+		Step:       receipt.StepAdmit,
+		RetryAfter: time.Duration(b.cfg.ReturnMS) * time.Millisecond,
+	}
+}
+
+// expire moves a request that has turned late, or refuses it.
+func (b *Backlog) expire(t *JobTurn, now time.Time) *receipt.Reason {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.removeLocked(t) {
+		// The turn was granted at the same moment.
+		return nil
+	}
+	if t.isLate {
+		return b.overloaded()
+	}
+	return b.pushLocked(t, now)
+}
+
+func (b *Backlog) removeLocked(t *JobTurn) bool {
+	for _, list := range []*[]*JobTurn{&b.onTime, &b.late} {
+		if at := slices.Index(*list, t); at >= 0 {
+			*list = slices.Delete(*list, at, at+1)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Backlog) endPlacingLocked(t *JobTurn) {
+	if t.placing {
+		t.placing = false
+		b.placing--
+	}
+}
+
+// closeLocked lets nobody look for room before d has passed.
+func (b *Backlog) closeLocked(d time.Duration) {
+	b.closedUntil = time.Now().Add(d)
+	if b.reopen != nil {
+		b.reopen.Stop()
+	}
+	b.reopen = time.AfterFunc(d, b.Wake)
+}
+
+// grantLocked gives turns to the next requests.
+func (b *Backlog) grantLocked() {
+	if time.Now().Before(b.closedUntil) {
+		return
+	}
+	for b.placing < b.cfg.Placing {
+		var t *JobTurn
+		switch {
+		case len(b.onTime) > 0:
+			t = b.onTime[0]
+			b.onTime = slices.Delete(b.onTime, 0, 1)
+		case len(b.late) > 0:
+			t = b.late[0]
+			b.late = slices.Delete(b.late, 0, 1)
+		default:
+			return
+		}
+		t.placing = true
+		b.placing++
+		close(t.granted)
+	}
+}
+
+const (
+	// startWindow is the time over which the rate of starts is taken.
+	startWindow = 2 * time.Second
+	// leastStarts is the rate assumed of a backlog that has started nothing lately,
+	// per second.
+	leastStarts = 1
+)
+
+// startRate counts starts in two windows of time.
+type startRate struct {
+	since    time.Time
+	recent   int
+	previous int
+}
+
+func (s *startRate) turn(now time.Time) {
+	for now.Sub(s.since) >= startWindow {
+		if now.Sub(s.since) >= 2*startWindow {
+			s.recent = 0
+			s.since = now.Add(-startWindow)
+		}
+		s.previous = s.recent
+		s.recent = 0
+		s.since = s.since.Add(startWindow)
+	}
+}
+
+func (s *startRate) add(now time.Time) {
+	s.turn(now)
+	s.recent++
+}
+
+// perSecond returns the recent rate of starts.
+func (s *startRate) perSecond(now time.Time) float64 {
+	s.turn(now)
+	rate := max(float64(s.previous)/startWindow.Seconds(), float64(s.recent)/startWindow.Seconds())
+	return max(rate, leastStarts)
+}
--- /dev/null
+++ b/quotation/length.go
@@ -0,0 +1,145 @@
+package quotation
+
+import (
+	"math"
+	"sync"
+
+	"github.com/balsamlock/balsamlock/common/settings"
+)
+
+// LengthConfig holds the settings of the prediction of output lengths.
+type LengthConfig struct {
+	// Deviations is the distance of the memory set aside from the median of the
+	// prediction, in standard deviations of the logarithm.
+	Deviations float64 `json:"deviations"`
+}
+
+// DefaultLengthConfig returns the settings in use when none are given.
+func DefaultLengthConfig() LengthConfig { return LengthConfig{Deviations: 1.3} }
+
+// Check records the values that are not allowed.
+func (c LengthConfig) Check(p *settings.Problems) {
+	p.Add(c.Deviations >= 0, "deviations", c.Deviations, "a number of at least 0")
+}
+
+const (
+	// priorWeight is the number of outputs that the assumption counts for before
+	// any were seen.
+	priorWeight = 8
+	// priorSlope is how far the logarithm of an output follows that of its hint
+	// when hints are as far off as outputs differ from each other; priorVariance
+	// the variance that is left, priorSpread that of hints.
+	priorSlope    = 0.5
+	priorVariance = 0.13
+	priorSpread   = 0.5
+	// typicalPart is the part of the allowed output that is usually used.
+	typicalPart = 0.45
+	// lengthMemory is the number of recent outputs that count.
+	lengthMemory = 300
+)
+
+// Lengths predicts the outputs of generations from callers' hints. A hint is
+// right at the median but often far off, so that the prediction lies between the
+// hint and the usual output of its route, as a regression of logarithms over the
+// outputs seen. It answers the load of bursts, when memory that is set aside for
+// nothing refuses callers, and memory that was not set aside preempts them. It
+// is safe for concurrent use.
+type Lengths struct {
+	cfg LengthConfig
+
+	mu     sync.Mutex
+	routes map[string]*regression
+}
+
+// NewLengths returns a predictor that has seen no outputs.
+func NewLengths(cfg LengthConfig) *Lengths {
+	return &Lengths{
+		cfg:    cfg,
+		routes: map[string]*regression{},
+	}
+}
+
+// Predict returns the median of the output and the memory to set aside for it,
+// in tokens. A hint of 0 means that there is none; most bounds the output.
+func (l *Lengths) Predict(route string, hint, most int) (median, reserve int) {
+	if most <= 0 {
+		return hint, hint
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	center, deviation := l.route(route, most).at(hint)
+	limit := float64(most)
+	median = int(min(math.Exp(center), limit))
+	reserve = int(min(math.Exp(center+l.cfg.Deviations*deviation), limit))
+	return median, reserve
+}
+
+// Observe takes in a complete output.
+func (l *Lengths) Observe(route string, hint, most, output int) {
+	if hint <= 0 || most <= 0 || output <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.route(route, most).add(math.Log(float64(hint)), math.Log(float64(output)), 1)
+}
+
+func (l *Lengths) route(name string, most int) *regression {
+	r := l.routes[name]
+	if r == nil {
+		r = newRegression(math.Log(typicalPart * float64(most)))
+		l.routes[name] = r
+	}
+	return r
+}
+
+// regression is a weighted least-squares line whose old points fade.
+type regression struct {
+	n, x, y, xx, xy, yy float64
+}
+
+// newRegression starts with points of the assumed slope and variance around a
+// typical logarithm.
+func newRegression(typical float64) *regression {
+	r := &regression{}
+	side := math.Sqrt(priorSpread)
+	rest := math.Sqrt(priorVariance)
+	for _, dx := range []float64{-side, side} {
+		for _, dy := range []float64{-rest, rest} {
+			r.add(typical+dx, typical+priorSlope*dx+dy, priorWeight/4)
+		}
+	}
+	return r
+}
+
+func (r *regression) add(x, y, weight float64) {
+	if fade := 1 - weight/lengthMemory; r.n > lengthMemory {
+		r.n *= fade
+		r.x *= fade
+		r.y *= fade
+		r.xx *= fade
+		r.xy *= fade
+		r.yy *= fade
+	}
+	r.n += weight
+	r.x += weight * x
+	r.y += weight * y
+	r.xx += weight * x * x
+	r.xy += weight * x * y
+	r.yy += weight * y * y
+}
+
+// at returns the center and the standard deviation of the logarithm of the output
+// for a hint.
+func (r *regression) at(hint int) (center, deviation float64) {
+	meanX, meanY := r.x/r.n, r.y/r.n
+	spreadX := max(r.xx/r.n-meanX*meanX, math.SmallestNonzeroFloat64)
+	spreadY := r.yy/r.n - meanY*meanY
+	covariance := r.xy/r.n - meanX*meanY
+	if hint <= 0 {
+		return meanY, math.Sqrt(max(0, spreadY))
+	}
+	slope := min(max(covariance/spreadX, 0), 1)
+	rest := max(0, spreadY-slope*covariance)
+	return meanY + slope*(math.Log(float64(hint))-meanX), math.Sqrt(rest)
+}
