--- /dev/null
+++ b/intake/backlog_test.go
@@ -0,0 +1,198 @@
+package intake
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/receipt"
+)
+
+// jobOf returns a job that is on time for d from now on and of use up to latest.
+func jobOf(cost int, d, latest time.Duration) Job {
+	now := time.Now()
+	job := Job{
+		Cost:   cost,
+		OnTime: now.Add(d),
+	}
+	if latest > 0 {
+		job.Latest = now.Add(latest)
+	}
+	return job
+}
+
+func TestBacklogServesCheapestFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(BacklogConfig{
+			Placing:     1,
+			LateSeconds: 4,
+			ReturnMS:    1000,
+		})
+		first, reason := b.Enter(t.Context(), jobOf(10, time.Second, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+
+		var mu sync.Mutex
+		var order []int
+		for _, cost := range []int{30, 5, 20} {
+			go func() {
+				turn, reason := b.Enter(t.Context(), jobOf(cost, time.Second, 0))
+				c.Check(reason == nil, qt.IsTrue)
+				mu.Lock()
+				order = append(order, cost)
+				mu.Unlock()
+				turn.Placed()
+				turn.Close()
+			}()
+		}
+		synctest.Wait()
+		first.Placed()
+		synctest.Wait()
+		c.Assert(order, qt.DeepEquals, []int{5, 20, 30})
+	})
+}
+
+func TestBacklogRefusesAtOnceWithoutLateService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(DefaultBacklogConfig())
+		began := time.Now()
+		turn, reason := b.Enter(t.Context(), jobOf(10, 300*time.Millisecond, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+		for reason == nil {
+			reason = turn.Wait(t.Context(), 10*time.Millisecond)
+		}
+		c.Assert(reason.Code, qt.Equals, receipt.CodeOverloaded)
+		c.Assert(reason.RetryAfter, qt.Equals, 4*time.Second)
+		c.Assert(time.Since(began) <= 310*time.Millisecond, qt.IsTrue)
+	})
+}
+
+// A request that has become late waits behind those that are not, leaves room to
+// them, and is given up when a start is of no more use.
+func TestBacklogLateService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(BacklogConfig{
+			Placing:     1,
+			LateSeconds: 4,
+			ReturnMS:    1000,
+		})
+		late, reason := b.Enter(t.Context(), jobOf(1, 100*time.Millisecond, time.Second))
+		c.Assert(reason == nil, qt.IsTrue)
+		c.Assert(late.Patient(), qt.IsFalse)
+		for !late.Patient() {
+			c.Assert(late.Wait(t.Context(), 10*time.Millisecond) == nil, qt.IsTrue)
+		}
+		timely, reason := b.Enter(contextOf(t, 20*time.Millisecond), jobOf(100, time.Second, 0))
+		c.Assert(reason != nil, qt.IsTrue, qt.Commentf("the late one still looks for room"))
+		c.Assert(timely, qt.IsNil)
+
+		result := make(chan *receipt.Reason, 1)
+		go func() { result <- late.Wait(t.Context(), 10*time.Millisecond) }()
+		synctest.Wait()
+		timely, reason = b.Enter(t.Context(), jobOf(100, time.Second, 0))
+		c.Assert(reason == nil, qt.IsTrue, qt.Commentf("a dearer request on time goes first"))
+		synctest.Wait()
+		c.Assert(result, qt.HasLen, 0)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		c.Assert((<-result).Code, qt.Equals, receipt.CodeOverloaded)
+		timely.Close()
+		all, _ := b.Waiting()
+		c.Assert(all, qt.Equals, 0)
+	})
+}
+
+// A burst of three times what can be started: what waits late stays bounded, and
+// the rest hears of it as soon as it is known.
+func TestBacklogBoundsLateRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(BacklogConfig{
+			Placing:     1,
+			LateSeconds: 2,
+			ReturnMS:    1000,
+		})
+		const each = 50 * time.Millisecond
+		var mu sync.Mutex
+		served, refused := 0, 0
+		room := make(chan struct{}, 1)
+		go func() {
+			for range 200 {
+				time.Sleep(each)
+				select {
+				case room <- struct{}{}:
+				default:
+				}
+				b.Wake()
+			}
+		}()
+		for range 300 {
+			time.Sleep(each / 3)
+			go func() {
+				ok := b.startsBy(t.Context(), room, jobOf(10, 400*time.Millisecond, 3*time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				if ok {
+					served++
+				} else {
+					refused++
+				}
+			}()
+			_, late := b.Waiting()
+			c.Assert(late <= 45, qt.IsTrue, qt.Commentf("%d wait late, at 20 starts a second", late))
+		}
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		c.Assert(served+refused, qt.Equals, 300)
+		c.Assert(served >= 100, qt.IsTrue, qt.Commentf("served %d", served))
+	})
+}
+
+// startsBy looks for room until there is some or the request is refused.
+func (b *Backlog) startsBy(ctx context.Context, room <-chan struct{}, job Job) bool {
+	turn, reason := b.Enter(ctx, job)
+	for reason == nil {
+		select {
+		case <-room:
+			turn.Placed()
+			turn.Close()
+			return true
+		default:
+			reason = turn.Wait(ctx, 10*time.Millisecond)
+		}
+	}
+	return false
+}
+
+func contextOf(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestBacklogHurriedGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(BacklogConfig{
+			Placing:     1,
+			LateSeconds: 4,
+			ReturnMS:    1000,
+		})
+		broken, reason := b.Enter(t.Context(), jobOf(100, 100*time.Millisecond, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+		broken.Placed()
+		time.Sleep(time.Second)
+		// Its engine has died: it looks for another one though it is late by far.
+		broken.Hurry()
+		c.Assert(broken.Wait(t.Context(), 10*time.Millisecond) == nil, qt.IsTrue)
+		c.Assert(broken.Patient(), qt.IsFalse)
+		broken.Close()
+	})
+}
--- /dev/null
+++ b/intake/sharedretries_test.go
@@ -0,0 +1,96 @@
+package intake
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func sharedConfig() SharedRetriesConfig {
+	return SharedRetriesConfig{
+		Ratio:    0.2,
+		Slack:    50,
+		WindowMS: 10_000,
+		Reserve:  0.2,
+	}
+}
+
+func TestSharedRetriesFollowRequestsAndShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := NewSharedRetries(sharedConfig())
+		c.Assert(s.Take("desk"), qt.IsFalse, qt.Commentf("no requests and no share yet"))
+		s.SetShare(0.25)
+		taken := 0
+		for s.Take("desk") {
+			taken++
+		}
+		c.Assert(taken, qt.Equals, 10, qt.Commentf("a quarter of the slack, less the reserve"))
+		for range 100 {
+			s.First("desk")
+		}
+		for s.Take("desk") {
+			taken++
+		}
+		c.Assert(taken, qt.Equals, 26)
+		c.Assert(s.Take("models"), qt.IsTrue, qt.Commentf("services share nothing"))
+		time.Sleep(11 * time.Second)
+		c.Assert(s.Take("desk"), qt.IsTrue)
+	})
+}
+
+// In every window the retries of all instances together stay below the bound,
+// however requests and failures are spread over them.
+func TestSharedRetriesBoundAllInstances(t *testing.T) {
+	cfg := sharedConfig()
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			const instances = 4
+			var all [instances]*SharedRetries
+			for i := range all {
+				all[i] = NewSharedRetries(cfg)
+				all[i].SetShare(1.0 / instances)
+			}
+			type event struct {
+				at    time.Duration
+				retry bool
+			}
+			var events []event
+			began := time.Now()
+			for range rapid.IntRange(1, 400).Draw(rt, "steps") {
+				time.Sleep(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
+				i := rapid.IntRange(0, instances-1).Draw(rt, "instance")
+				if rapid.Bool().Draw(rt, "fails") {
+					if all[i].Take("desk") {
+						events = append(events, event{
+							at:    time.Since(began),
+							retry: true,
+						})
+					}
+					continue
+				}
+				all[i].First("desk")
+				events = append(events, event{at: time.Since(began)})
+			}
+			window := time.Duration(cfg.WindowMS) * time.Millisecond
+			for i := range events {
+				retries, requests := 0, 0
+				for _, e := range events[:i+1] {
+					if e.at > events[i].at-window && e.retry {
+						retries++
+					}
+					// Requests count in the window or in the one half before it.
+					if e.at > events[i].at-window-window/2 && !e.retry {
+						requests++
+					}
+				}
+				if bound := cfg.Ratio*float64(requests) + cfg.Slack; float64(retries) > bound {
+					rt.Fatalf("%d retries after %d requests, bound %.1f", retries, requests, bound)
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/quotation/length_test.go
@@ -0,0 +1,58 @@
+package quotation
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// outputs draws a caller's output and the hint that it gives, right at the
+// median and often far off.
+func outputs(r *rand.Rand, most int) (hint, output int) {
+	length := min(4450*math.Exp(0.5*r.NormFloat64()), float64(most))
+	return int(length * math.Exp(0.5*r.NormFloat64())), int(length)
+}
+
+func TestLengthsCoverOutputsWithLessMemoryThanHints(t *testing.T) {
+	c := qt.New(t)
+	const most = 9360
+	r := rand.New(rand.NewPCG(1, 2))
+	lengths := NewLengths(DefaultLengthConfig())
+	covered, reserved, covered2, reserved2, n := 0, 0, 0, 0, 0
+	for i := range 2000 {
+		hint, output := outputs(r, most)
+		_, reserve := lengths.Predict("survey", hint, most)
+		lengths.Observe("survey", hint, most, output)
+		if i < 100 {
+			continue
+		}
+		n++
+		reserved += reserve
+		if output <= reserve {
+			covered++
+		}
+		// What a multiple of the hint needs for the same memory.
+		byHint := min(int(1.3*float64(hint)), most)
+		reserved2 += byHint
+		if output <= byHint {
+			covered2++
+		}
+	}
+	c.Logf("prediction covers %d of %d with %d tokens; hint x 1.3 %d with %d", covered, n, reserved/n, covered2, reserved2/n)
+	c.Assert(float64(covered)/float64(n) >= 0.85, qt.IsTrue)
+	c.Assert(covered > covered2, qt.IsTrue)
+}
+
+func TestLengthsBounds(t *testing.T) {
+	c := qt.New(t)
+	lengths := NewLengths(DefaultLengthConfig())
+	for _, hint := range []int{0, 1, 100, 1 << 40} {
+		median, reserve := lengths.Predict("survey", hint, 1000)
+		c.Assert(median > 0 && median <= reserve && reserve <= 1000, qt.IsTrue, qt.Commentf("hint %d: %d, %d", hint, median, reserve))
+	}
+	median, reserve := lengths.Predict("survey", 50, 0)
+	c.Assert([]int{median, reserve}, qt.DeepEquals, []int{50, 50})
+	lengths.Observe("survey", 0, 0, -1)
+}
