--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -78,15 +78,27 @@
 	return conn, bufio.NewReader(conn)
 }
 
-// exchange sends raw bytes and returns the status and body of the answer.
-func exchange(c *qt.C, conn net.Conn, r *bufio.Reader, raw string) (*http.Response, string) {
+// head is the head of an answer that was read whole.
+type head struct {
+	StatusCode int
+	Header     http.Header
+	Close      bool
+}
+
+// exchange sends raw bytes and returns the head and body of the answer.
+func exchange(c *qt.C, conn net.Conn, r *bufio.Reader, raw string) (head, string) {
 	_, err := io.WriteString(conn, raw)
 	c.Assert(err, qt.IsNil)
 	resp, err := http.ReadResponse(r, nil)
 	c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	c.Assert(err, qt.IsNil)
-	return resp, string(body)
+	return head{
+		StatusCode: resp.StatusCode,
+		Header:     resp.Header,
+		Close:      resp.Close,
+	}, string(body)
 }
 
 func TestKeptConnection(t *testing.T) {
@@ -109,6 +121,7 @@
 		c.Assert(err, qt.IsNil)
 		c.Assert(resp.Header.Get("X-Path"), qt.Equals, want)
 		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 	}
 }
 
@@ -227,6 +240,7 @@
 			continue
 		}
 		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		c.Assert(err, qt.IsNotNil, qt.Commentf("HTTP/%s", version))
 	}
 }
@@ -287,10 +301,10 @@
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(resp.Header.Get("Retry-After"), qt.Equals, "0.5")
 	close(hold)
-	resp, err = http.ReadResponse(r1, nil)
+	answer, err := http.ReadResponse(r1, nil)
 	c.Assert(err, qt.IsNil)
-	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
-	_ = resp.Body.Close()
+	c.Assert(answer.StatusCode, qt.Equals, http.StatusOK)
+	_ = answer.Body.Close()
 }
 
 // FuzzRequests sends any bytes: what the handler gets must be what net/http reads
--- a/firing/fake_test.go
+++ b/firing/fake_test.go
@@ -28,6 +28,9 @@
 	chaos      float64
 	reserveErr error
 	prefillErr error
+	// decodeErr is returned by each decode, streamErr by each read of a stream.
+	decodeErr  error
+	streamErr  error
 	importWait time.Duration
 
 	mu     sync.Mutex
@@ -113,6 +116,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.calls["decode"]++
+	if e.decodeErr != nil {
+		return nil, e.decodeErr
+	}
 	text := e.held[req.Attempt]
 	if text == "" || text == "reserved" {
 		return nil, e.refuse("decode", kiln.ErrGone)
@@ -177,6 +183,9 @@
 	}
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
+	if s.engine.streamErr != nil {
+		return kiln.Frame{}, s.engine.streamErr
+	}
 	if s.engine.random.Float64() < s.engine.chaos {
 		return s.fault()
 	}
@@ -301,6 +310,8 @@
 type collector struct {
 	frames []kiln.Frame
 	limit  int
+	// after is called with the number of frames so far; may be nil.
+	after func(n int)
 }
 
 func (s *collector) Token(frame kiln.Frame) error {
@@ -308,6 +319,9 @@
 		return errors.New("caller gone")
 	}
 	s.frames = append(s.frames, frame)
+	if s.after != nil {
+		s.after(len(s.frames))
+	}
 	return nil
 }
 
--- /dev/null
+++ b/firing/strict_test.go
@@ -0,0 +1,157 @@
+package firing_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/firing"
+	"github.com/balsamlock/balsamlock/intake"
+	"github.com/balsamlock/balsamlock/kiln"
+	"github.com/balsamlock/balsamlock/quotation"
+	"github.com/balsamlock/balsamlock/receipt"
+)
+
+// strictConfig never connects to the same engine again, and waits long for one
+// that goes on with a stream.
+func strictConfig() firing.Config {
+	cfg := firing.DefaultConfig()
+	cfg.Resumes = 0
+	cfg.WaitMS = 50
+	cfg.ResumeWaitMS = 2500
+	cfg.StallMS = 3000
+	return cfg
+}
+
+func strictRequest(id string, resumable bool) firing.Request {
+	req := newRequest(id)
+	req.Strict = true
+	req.Resumable = resumable
+	req.Runs = 2
+	return req
+}
+
+func inStrictBubble(t *testing.T, queue bool, f func(c *qt.C, engines *fakeCrew, runner *firing.Runner)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		engines := newFakeCrew(1, 2, 2)
+		deps := firing.Deps{
+			Engines:  engines,
+			Placer:   quotation.NewBook(quotation.Deps{Servers: engines}),
+			Instance: "entry-1",
+			Config:   strictConfig(),
+		}
+		if queue {
+			deps.Queue = firing.NewBacklogQueue(intake.NewBacklog(intake.DefaultBacklogConfig()))
+		}
+		runner := firing.NewRunner(deps)
+		f(qt.New(t), engines, runner)
+		runner.Close()
+	})
+}
+
+func (f *fakeCrew) decodes() int {
+	n := 0
+	for _, engine := range f.engines {
+		n += engine.count("decode")
+	}
+	return n
+}
+
+// A decode that may have started is neither repeated nor called not run.
+func TestStrictDecodeIsNotRepeated(t *testing.T) {
+	inStrictBubble(t, false, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.chaos = 1
+			engine.streamErr = errBroken
+		}
+		result := runner.Run(c.Context(), strictRequest("r1", false), &collector{})
+		_, unknown := result.Outcome.(receipt.Unknown)
+		c.Assert(unknown, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+		c.Assert(engines.decodes(), qt.Equals, 1)
+	})
+}
+
+// A resumable request runs on as many engines as its route allows.
+func TestStrictResumableIsBounded(t *testing.T) {
+	inStrictBubble(t, false, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.streamErr = errBroken
+		}
+		result := runner.Run(c.Context(), strictRequest("r1", true), &collector{})
+		_, unknown := result.Outcome.(receipt.Unknown)
+		c.Assert(unknown, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+		c.Assert(engines.decodes(), qt.Equals, 2)
+	})
+}
+
+// An engine's own failure is the answer of a request that may not run again.
+func TestStrictPassesFailuresOn(t *testing.T) {
+	inStrictBubble(t, false, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.decodeErr = &kiln.AnswerError{
+				Peer:   engine.address,
+				Status: http.StatusInternalServerError,
+				Body:   []byte("failed"),
+			}
+		}
+		result := runner.Run(c.Context(), strictRequest("r1", false), &collector{})
+		answered, ok := result.Outcome.(receipt.Answered)
+		c.Assert(ok, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+		c.Assert(answered.Status, qt.Equals, http.StatusInternalServerError)
+		c.Assert(string(answered.Body), qt.Equals, "failed")
+	})
+}
+
+// A prefill whose answer is lost has not run a strict request.
+func TestStrictPrefillDoesNotRun(t *testing.T) {
+	inStrictBubble(t, false, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.prefillErr = errBroken
+		}
+		result := runner.Run(c.Context(), strictRequest("r1", false), &collector{})
+		_, notRun := result.Outcome.(receipt.NotRun)
+		c.Assert(notRun, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+		c.Assert(engines.decodes(), qt.Equals, 0)
+	})
+}
+
+// A stream that breaks off while all other engines are full goes on once one of
+// them has room; it isn't cut after the short wait of a new request.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	for _, queue := range []bool{false, true} {
+		inStrictBubble(t, queue, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+			var once bool
+			sink := &collector{}
+			sink.after = func(n int) {
+				if n != 5 || once {
+					return
+				}
+				once = true
+				for _, engine := range engines.engines {
+					engine.mu.Lock()
+					engine.reserveErr = &kiln.EngineError{Code: kiln.ErrFull}
+					engine.streamErr = errBroken
+					engine.mu.Unlock()
+				}
+				time.AfterFunc(time.Second, func() {
+					for _, engine := range engines.engines {
+						engine.mu.Lock()
+						engine.reserveErr = nil
+						engine.streamErr = nil
+						engine.mu.Unlock()
+					}
+				})
+			}
+			ctx, stop := context.WithTimeout(c.Context(), 10*time.Second)
+			defer stop()
+			result := runner.Run(ctx, strictRequest("r1", true), sink)
+			c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+			c.Assert(sink.frames, qt.HasLen, 30)
+		})
+	}
+}
