quotation: Learn the queues of prefill engines and use those of all regions

A request whose prefill had been sent lost its time limit and was held to its deadline. Ruled out: load in the answers (prefill answers carry none).

--- a/firing/runner.go
+++ b/firing/runner.go
@@ -138,7 +138,9 @@
 
 func (g *generation) wait(ctx context.Context, d time.Duration, deadline time.Time) *receipt.Reason {
 	if g.turn != nil {
-		if g.sent != nil {
+		// Engines may count a prefill as nothing run: such a request keeps its time
+		// limit until its answer has begun.
+		if g.sent != nil && (!g.req.Strict || g.next > 0) {
 			g.turn.Hurry()
 		}
 		return g.turn.Wait(ctx, d)
--- a/quotation/book.go
+++ b/quotation/book.go
@@ -168,8 +168,11 @@
 // Take records that a run is about to start.
 func (b *Book) Take(run Run, now time.Time) *Booking {
 	booking := &Booking{
-		book: b,
-		run:  run,
+		book:  b,
+		run:   run,
+		began: now,
+		// What of the queue is due to others is known from the delay only.
+		expected: run.Queue + run.Compute - run.Prefill.tally.delay.at(now),
 	}
 	booking.run.Decode.tally.slots.add(1, now)
 	booking.run.Decode.tally.memory.add(int64(run.MemoryTokens), now)
@@ -184,6 +187,8 @@
 type Booking struct {
 	book     *Book
 	run      Run
+	began    time.Time
+	expected time.Duration
 	slot     atomic.Bool
 	reserved atomic.Bool
 	prefill  atomic.Bool
@@ -196,6 +201,9 @@
 // Prefilled records the end of the prefill; blocks are the prefix blocks that
 // the engine caches now.
 func (k *Booking) Prefilled(blocks []uint64, now time.Time) {
+	if k.prefill.Load() {
+		k.run.Prefill.tally.delay.observe(now.Sub(k.began)-k.expected, now)
+	}
 	k.endPrefill(now)
 	for _, block := range blocks {
 		k.book.prefix.store(block, k.run.Prefill.Address)
--- a/quotation/config.go
+++ b/quotation/config.go
@@ -36,6 +36,9 @@
 	SnapshotMS int `json:"snapshot_ms"`
 	// CacheBlocks bounds the prefix blocks known of, over all engines.
 	CacheBlocks int `json:"cache_blocks"`
+	// PrefillAbroad lets a prompt be computed in another region than the one that
+	// decodes, where the links between engines carry KV cache at that distance.
+	PrefillAbroad bool `json:"prefill_abroad"`
 	// Policy chooses among the engines.
 	Policy Policy `json:"policy"`
 }
--- a/quotation/place.go
+++ b/quotation/place.go
@@ -25,6 +25,12 @@
 	// centre of the region: two round trips of about 1.4 ms each way, and the
 	// transfer at half the rate.
 	remoteDelay = 6 * time.Millisecond
+	// abroadDelay is the same for another region: two round trips of 12 ms each
+	// way, and the transfer at a tenth of the rate.
+	abroadDelay = 65 * time.Millisecond
+	// spreadDelay is the range of the random part of a prefill's expected time; it
+	// keeps instances that can't see each other's queues apart.
+	spreadDelay = 20 * time.Millisecond
 )
 
 // view is the state that one decision reads.
@@ -106,7 +112,11 @@
 	if region == "" {
 		region = decode.Region
 	}
-	run, ok := v.choosePrefill(l.prefill[region], req, decode)
+	prefill := l.prefill[region]
+	if v.cfg.PrefillAbroad {
+		prefill = l.prefill[""]
+	}
+	run, ok := v.choosePrefill(prefill, req, decode)
 	run.Decode = decode
 	return run, ok
 }
@@ -200,6 +210,7 @@
 	}
 	now := v.now.UnixNano()
 	best := v.chooseCached(workers, req, decode)
+	bestReady := best.Ready()
 	seed := xxhash.Sum64String(req.ID)
 	seen := 0
 	for i := range workers {
@@ -208,8 +219,10 @@
 			continue
 		}
 		run := v.quote(w, req, 0, decode)
-		if best.Prefill == nil || run.Ready() < best.Ready() {
+		ready := run.Ready() + time.Duration(float64(spreadDelay)*spread(seed, i))
+		if best.Prefill == nil || ready < bestReady {
 			best = run
+			bestReady = ready
 		}
 		seen++
 		if seen == sampleSize {
@@ -255,7 +268,7 @@
 		Prefill:        w,
 		CachedTokens:   cached,
 		ComputedTokens: computed,
-		Queue:          seconds(float64(w.Queued(v.now)) / w.Rate),
+		Queue:          seconds(float64(w.Queued(v.now))/w.Rate) + w.tally.delay.at(v.now),
 		Compute:        seconds(float64(computed) / w.Rate),
 		KVBytes:        bytes,
 		MemoryTokens:   req.MemoryTokens,
@@ -263,9 +276,7 @@
 	if w == decode {
 		return run
 	}
-	if w.DataCentre != req.DataCentre {
-		run.Queue += remoteDelay
-	}
+	run.Queue += v.distance(w, req)
 	pending := bytes
 	if !v.cfg.Policy.NoTransfer {
 		pending += v.pending(w, decode)
@@ -274,6 +285,19 @@
 	return run
 }
 
+// distance returns what a prefill takes longer on an engine that isn't in the
+// request's data centre.
+func (v view) distance(w *Worker, req *Request) time.Duration {
+	switch {
+	case w.DataCentre == req.DataCentre:
+		return 0
+	case w.Region == v.home(req):
+		return remoteDelay
+	default:
+		return abroadDelay
+	}
+}
+
 // pending returns the KV cache that waits for the same links, in bytes.
 func (v view) pending(prefill, decode *Worker) int64 {
 	pending := prefill.Pending(v.now)
--- a/quotation/tally.go
+++ b/quotation/tally.go
@@ -1,6 +1,7 @@
 package quotation
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,8 @@
 	// memory counts tokens set aside on the engine.
 	memory counter
 	bytes  atomic.Int64
+	// delay is how much longer prefills took lately than expected.
+	delay delay
 	// others is what other instances have told of their load, nil before.
 	others atomic.Pointer[told]
 	// fullUntil and failedUntil are Unix times in nanoseconds before which the
@@ -83,3 +86,43 @@
 		}
 	}
 }
+
+const (
+	// delayGain weighs the newest prefill in the delay of an engine.
+	delayGain = 0.5
+	// delayFade is the time in which a delay that isn't seen again fades by half;
+	// queues of other instances' prompts last about as long.
+	delayFade = 700 * time.Millisecond
+)
+
+// delay is how much longer prefills on one engine took lately than this
+// instance's own queue explains: by the queues of other instances, which it
+// can't see, or because the engine is slow.
+type delay struct {
+	mu    sync.Mutex
+	value time.Duration
+	seen  time.Time
+}
+
+// at returns the delay to expect at a time.
+func (d *delay) at(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.atLocked(now)
+}
+
+func (d *delay) atLocked(now time.Time) time.Duration {
+	if d.value == 0 {
+		return 0
+	}
+	return time.Duration(float64(d.value) * math.Exp2(-now.Sub(d.seen).Seconds()/delayFade.Seconds()))
+}
+
+// observe takes in by how much a prefill took longer than expected.
+func (d *delay) observe(extra time.Duration, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.atLocked(now)
+	d.value = max(0, before+time.Duration(delayGain*float64(extra-before)))
+	d.seen = now
+}
