--- a/quotation/length.go
+++ b/quotation/length.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"time"
 
 	"github.com/balsamlock/balsamlock/common/settings"
 )
@@ -36,6 +37,10 @@
 	typicalPart = 0.45
 	// lengthMemory is the number of recent outputs that count.
 	lengthMemory = 300
+	// assumedPace is the time of a token at a nearly full engine, before any output
+	// was seen; paceGain weighs the newest output.
+	assumedPace = 800 * time.Microsecond
+	paceGain    = 0.1
 )
 
 // Lengths predicts the outputs of generations from callers' hints. A hint is
@@ -74,8 +79,23 @@
 	return median, reserve
 }
 
-// Observe takes in a complete output.
-func (l *Lengths) Observe(route string, hint, most, output int) {
+// Duration returns how long engines take for an output, by the recent pace of the
+// route.
+func (l *Lengths) Duration(route string, most, tokens int) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(tokens) * l.route(route, most).pace
+}
+
+// Observe takes in a complete output and the time from its first token to the
+// last.
+func (l *Lengths) Observe(route string, hint, most, output int, took time.Duration) {
+	if most > 0 && output > 0 && took > 0 {
+		l.mu.Lock()
+		r := l.route(route, most)
+		r.pace += time.Duration(paceGain * float64(took/time.Duration(output)-r.pace))
+		l.mu.Unlock()
+	}
 	if hint <= 0 || most <= 0 || output <= 0 {
 		return
 	}
@@ -96,12 +116,14 @@
 // regression is a weighted least-squares line whose old points fade.
 type regression struct {
 	n, x, y, xx, xy, yy float64
+	// pace is the recent time of a token.
+	pace time.Duration
 }
 
 // newRegression starts with points of the assumed slope and variance around a
 // typical logarithm.
 func newRegression(typical float64) *regression {
-	r := &regression{}
+	r := &regression{pace: assumedPace}
 	side := math.Sqrt(priorSpread)
 	rest := math.Sqrt(priorVariance)
 	for _, dx := range []float64{-side, side} {
--- a/quotation/length_test.go
+++ b/quotation/length_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -24,7 +25,7 @@
 	for i := range 2000 {
 		hint, output := outputs(r, most)
 		_, reserve := lengths.Predict("survey", hint, most)
-		lengths.Observe("survey", hint, most, output)
+		lengths.Observe("survey", hint, most, output, time.Duration(output)*time.Millisecond)
 		if i < 100 {
 			continue
 		}
@@ -43,6 +44,7 @@
 	c.Logf("prediction covers %d of %d with %d tokens; hint x 1.3 %d with %d", covered, n, reserved/n, covered2, reserved2/n)
 	c.Assert(float64(covered)/float64(n) >= 0.85, qt.IsTrue)
 	c.Assert(covered > covered2, qt.IsTrue)
+	c.Assert(lengths.Duration("survey", most, 5000).Round(100*time.Millisecond), qt.Equals, 5*time.Second)
 }
 
 func TestLengthsBounds(t *testing.T) {
@@ -54,5 +56,5 @@
 	}
 	median, reserve := lengths.Predict("survey", 50, 0)
 	c.Assert([]int{median, reserve}, qt.DeepEquals, []int{50, 50})
-	lengths.Observe("survey", 0, 0, -1)
+	lengths.Observe("survey", 0, 0, -1, 0)
 }
