entry, firing: Let requests wait for news after a freeze

Cause: beside load, demo TestProcessKilledAndFrozen gave up waiting for a stream in progress: an instance that has just woken has a view older than its lease, and the placer then marked each engine that it was offered as failed for a second; the one stream was refused as overloaded before the engines counted again. Ruled out: the engines (they live), the queue, the test (it waits on events only; it stays as strict as it was). Change: an old view makes placement uncertain, marks nothing, and the request waits for news for up to 5 s. Conclusion: an instance that wakes serves.

--- a/entry/placer.go
+++ b/entry/placer.go
@@ -39,6 +39,13 @@
 		return decision
 	}
 	view := p.members.View()
+	if view.IsOld() {
+		// Nothing is known against the engines themselves.
+		return quotation.Wait{
+			For:       recheckAfter,
+			Uncertain: true,
+		}
+	}
 	for _, worker := range []*quotation.Worker{run.Decode, run.Prefill} {
 		if !view.MayPlace(worker.Name) || p.foremen.board.Draining(worker.Name) {
 			// Placement turns to other engines until the view shows it.
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -86,6 +86,10 @@
 	m.Add("prefill_tokens", "wasted", int64(g.wasted))
 }
 
+// uncertainWait bounds the wait for news of the engines: an instance that was
+// frozen joins its peers again in less.
+const uncertainWait = 5 * time.Second
+
 // waitDeadline bounds the wait for engines since the last one that took the
 // request.
 func (g *generation) waitDeadline() time.Time {
@@ -119,6 +123,15 @@
 			}
 			return d, nil
 		case quotation.Wait:
+			if d.Uncertain && time.Since(g.started) < uncertainWait {
+				// The target can't be kept any more by the time there is news; the
+				// request is served all the same.
+				g.tooLong = true
+				if reason := g.pause(ctx, d.For); reason != nil {
+					return quotation.Run{}, reason
+				}
+				continue
+			}
 			reason := g.wait(ctx, d.For, deadline)
 			if reason != nil {
 				return quotation.Run{}, reason
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -155,3 +155,40 @@
 		})
 	}
 }
+
+// newsPlacer knows its engines again after some time, as after a freeze.
+type newsPlacer struct {
+	*quotation.Book
+	known time.Time
+}
+
+func (p newsPlacer) Place(req quotation.Request, now time.Time) quotation.Decision {
+	if now.Before(p.known) {
+		return quotation.Wait{
+			For:       20 * time.Millisecond,
+			Uncertain: true,
+		}
+	}
+	return p.Book.Place(req, now)
+}
+
+// A request that comes while the instance has no fresh news isn't refused for
+// that, though it misses its target.
+func TestRunWaitsForNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engines := newFakeCrew(1, 2, 2)
+		runner := firing.NewRunner(firing.Deps{
+			Engines: engines,
+			Placer: newsPlacer{
+				Book:  quotation.NewBook(quotation.Deps{Servers: engines}),
+				known: time.Now().Add(2 * time.Second),
+			},
+			Queue:    firing.NewFairQueue(intake.NewQueue(intake.QueueConfig{}), func(string) int { return 1 }),
+			Instance: "entry-1",
+		})
+		defer runner.Close()
+		result := runner.Run(c.Context(), newRequest("r1"), &collector{})
+		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+	})
+}
--- a/quotation/decision.go
+++ b/quotation/decision.go
@@ -88,7 +88,13 @@
 
 // Wait means that no engine has room now. The request may be placed again
 // after For, or as soon as room is reported.
-type Wait struct{ For time.Duration }
+type Wait struct {
+	For time.Duration
+	// Uncertain is set when engines may have room but what is known of them is too
+	// old to hand out work, as after the process was frozen. News come within
+	// moments, so that the request is not refused for it.
+	Uncertain bool
+}
 
 // Refuse means that no engine can run the request.
 type Refuse struct{ Code receipt.Code }
