platform, firing, workshop: Log each attempt, failed call and refused retry

Cause: a request's line named neither the servers asked nor why. Refused reservations are counted, not logged. Conclusion: an id leads to its cause.

--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -181,3 +183,36 @@
 		return verdictRetry, reason
 	}
 }
+
+// names of the verdicts in logs.
+func (v verdict) name() string {
+	switch v {
+	case verdictDone:
+		return "done"
+	case verdictAgain:
+		return "place_again"
+	case verdictRetry:
+		return "retry"
+	default:
+		return "stop"
+	}
+}
+
+// log writes why an attempt ran where it did and how it ended.
+func (a *attempt) log(result verdict, reason receipt.Reason, took time.Duration) {
+	if result == verdictAgain && reason.Step == receipt.StepReserve {
+		// Refused reservations are looked for again every few milliseconds; the
+		// request's own line tells of the wait.
+		a.g.runner.deps.Metrics.Count("reservations", "refused")
+		return
+	}
+	line := log.Info().Str("event", "attempt").Str("id", a.g.req.ID).Int("try", a.g.tries).
+		Str("prefill", a.plan.Prefill.Address).Str("decode", a.plan.Decode.Address).
+		Int64("expected_ms", a.plan.Ready().Milliseconds()).Int("memory_tokens", a.g.req.memoryTokens()).
+		Int("room_tokens", a.g.req.Room).Int64("load_age_ms", a.plan.Decode.Age(time.Now()).Milliseconds()).
+		Int("from", a.g.next).Int64("took_ms", took.Milliseconds()).Str("verdict", result.name())
+	if result != verdictDone {
+		line.Str("reason", reason.Error())
+	}
+	line.Msg("attempt")
+}
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -136,8 +136,12 @@
 func (g *generation) attempt(ctx context.Context, run quotation.Run) receipt.Outcome {
 	g.tries++
 	a := newAttempt(g, run)
+	began := time.Now()
 	result, reason := a.run(ctx)
 	a.close(result)
+	if g.req.Strict {
+		a.log(result, reason, time.Since(began))
+	}
 	switch result {
 	case verdictDone:
 		return receipt.Answered{Status: 200}
--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -62,6 +62,14 @@
 	return part
 }
 
+// Age returns the age of the engine's own report at a time, 0 if there is none.
+func (w *Worker) Age(now time.Time) time.Duration {
+	if w.reported.IsZero() {
+		return 0
+	}
+	return now.Sub(w.reported)
+}
+
 // Queued returns the estimate of the prompt tokens that wait for prefill at a
 // time. What was told or reported has been worked off since.
 func (w *Worker) Queued(now time.Time) int {
--- a/workshop/caller.go
+++ b/workshop/caller.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/common/settings"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -221,6 +223,9 @@
 	} else {
 		ok = a.take(time.Now(), c.deps.Config.Budget)
 	}
+	if !ok {
+		log.Info().Str("event", "retry_refused").Str("service", service).Str("kind", kind).Msg("retry budget spent")
+	}
 	if c.deps.Metrics != nil {
 		detail := kind
 		if !ok {
@@ -248,6 +253,10 @@
 	}
 	began := time.Now()
 	answer, err := server.Service.Call(ctx, req)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		log.Info().Str("event", "call_failed").Str("id", call.Request.Attempt).Str("service", call.Service).
+			Str("server", server.Name).Int("try", n+1).Dur("took", time.Since(began)).Err(err).Msg("call failed")
+	}
 	switch {
 	case err == nil:
 		a.observe(time.Since(began))
