--- a/firing/fake_test.go
+++ b/firing/fake_test.go
@@ -29,7 +29,9 @@
 	reserveErr error
 	prefillErr error
 	// decodeErr is returned by each decode, streamErr by each read of a stream.
-	decodeErr  error
+	decodeErr error
+	// silence is the time before the first token of each stream.
+	silence    time.Duration
 	streamErr  error
 	importWait time.Duration
 
@@ -178,7 +180,11 @@
 	if s.next >= s.end {
 		return kiln.Frame{}, io.EOF
 	}
-	if err := sleep(ctx, stepTime); err != nil {
+	wait := stepTime
+	if s.engine.silence > 0 && s.next == 0 {
+		wait = s.engine.silence
+	}
+	if err := sleep(ctx, wait); err != nil {
 		return kiln.Frame{}, err
 	}
 	s.engine.mu.Lock()
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -98,7 +98,7 @@
 // stream relays one connection until the last frame, nil, or an error. A timer
 // breaks it when no token comes.
 func (a *attempt) stream(ctx context.Context, address string) error {
-	stall := milliseconds(a.g.runner.cfg.StallMS)
+	stall := a.g.stall()
 	watched, stop := context.WithCancel(ctx)
 	defer stop()
 	watchdog := time.AfterFunc(stall, stop)
@@ -125,6 +125,20 @@
 	}
 }
 
+// stall returns the time without a token after which a stream counts as broken.
+// The silence of an engine is no reason to end a stream that can't go on
+// elsewhere.
+func (g *generation) stall() time.Duration {
+	if g.req.Strict && (!g.req.Resumable || g.runs+1 >= g.req.Runs) {
+		return silentStream
+	}
+	return milliseconds(g.runner.cfg.StallMS)
+}
+
+// silentStream bounds the silence of a stream that can't go on elsewhere; callers
+// leave long before.
+const silentStream = time.Minute
+
 // frame waits for the next frame of this attempt and delivers it.
 func (a *attempt) frame(ctx context.Context, stream kiln.Stream) (last bool, err error) {
 	for {
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -156,6 +156,25 @@
 	}
 }
 
+// An engine that is silent for long, as one that preempts, keeps a stream that
+// can't go on elsewhere.
+func TestSilenceEndsNoStreamThatCantGoOn(t *testing.T) {
+	for _, resumable := range []bool{false, true} {
+		inStrictBubble(t, false, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+			for _, engine := range engines.engines {
+				engine.silence = 5 * time.Second
+			}
+			result := runner.Run(c.Context(), strictRequest("r1", resumable), &collector{})
+			want := 1
+			if resumable {
+				want = 2
+			}
+			c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+			c.Assert(engines.decodes(), qt.Equals, want)
+		})
+	}
+}
+
 // newsPlacer knows its engines again after some time, as after a freeze.
 type newsPlacer struct {
 	*quotation.Book
