--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -33,9 +33,17 @@
 	tally           *tally
 }
 
+// reportLife is how long an engine's report of its slots tells anything: about the
+// time of a generation. Without a newer one, an engine that was full once would
+// be passed over for good.
+const reportLife = 2 * time.Second
+
 // Used returns the estimate of the slots in use at a time.
 func (w *Worker) Used(now time.Time) int {
 	elsewhere := w.usedElsewhere
+	if now.Sub(w.reported) > reportLife {
+		elsewhere = 0
+	}
 	if t := w.told(now); t != nil {
 		elsewhere = t.slots
 	}
