intake, quotation: Take in what platform/ decided

Cause: read as a newcomer, platform/ worked out the memory to set aside, the latest start and what a stopping instance still accepts.

--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -17,6 +17,9 @@
 	// LateSeconds bounds the late requests that wait, by the time in which they
 	// would be started at the recent rate.
 	LateSeconds float64 `json:"late_seconds"`
+	// LateMS is how long a request that misses its objective may wait for a start,
+	// in milliseconds; 0 refuses it.
+	LateMS int `json:"late_ms"`
 	// ReturnMS is what callers are told to wait who are refused because too many
 	// wait, in milliseconds.
 	ReturnMS int `json:"return_ms"`
@@ -27,7 +30,10 @@
 	return BacklogConfig{
 		Placing:     2,
 		LateSeconds: 4,
-		ReturnMS:    4000,
+		// Callers give up after 3.6 s, and a start takes some of it.
+		LateMS: 2800,
+		// Bursts last 4 to 5 s.
+		ReturnMS: 4000,
 	}
 }
 
@@ -35,6 +41,7 @@
 func (c BacklogConfig) Check(p *settings.Problems) {
 	p.Positive("placing", c.Placing)
 	p.Add(c.LateSeconds >= 0, "late_seconds", c.LateSeconds, "a number of at least 0")
+	p.Add(c.LateMS >= 0, "late_ms", c.LateMS, "a whole number of at least 0")
 	p.Positive("return_ms", c.ReturnMS)
 }
 
@@ -75,6 +82,19 @@
 	return b
 }
 
+// Latest returns the time up to which a request may start late: its run of the
+// given length must end by its deadline. Zero means never.
+func (b *Backlog) Latest(arrived, deadline time.Time, run time.Duration) time.Time {
+	if b.cfg.LateMS == 0 {
+		return time.Time{}
+	}
+	latest := arrived.Add(time.Duration(b.cfg.LateMS) * time.Millisecond)
+	if end := deadline.Add(-run); end.Before(latest) {
+		return end
+	}
+	return latest
+}
+
 // Waiting returns the number of requests that wait, and how many of them are
 // late.
 func (b *Backlog) Waiting() (all, late int) {
--- a/quotation/length.go
+++ b/quotation/length.go
@@ -13,14 +13,29 @@
 	// Deviations is the distance of the memory set aside from the median of the
 	// prediction, in standard deviations of the logarithm.
 	Deviations float64 `json:"deviations"`
+	// HeldPart is the part of the predicted output that is set aside on the decode
+	// engine, RoomPart the part of the engine's memory that must be free beside it.
+	HeldPart float64 `json:"held_part"`
+	RoomPart float64 `json:"room_part"`
 }
 
-// DefaultLengthConfig returns the settings in use when none are given.
-func DefaultLengthConfig() LengthConfig { return LengthConfig{Deviations: 1.3} }
+// DefaultLengthConfig returns the settings in use when none are given. A third of
+// an output set aside, and room for what other outputs grow, leave an engine as
+// full as its memory allows without preemption; docs/design/placement.md has the
+// figures.
+func DefaultLengthConfig() LengthConfig {
+	return LengthConfig{
+		Deviations: 1.3,
+		HeldPart:   0.3,
+		RoomPart:   0.12,
+	}
+}
 
 // Check records the values that are not allowed.
 func (c LengthConfig) Check(p *settings.Problems) {
 	p.Add(c.Deviations >= 0, "deviations", c.Deviations, "a number of at least 0")
+	p.Add(c.HeldPart >= 0 && c.HeldPart <= 1, "held_part", c.HeldPart, "a number from 0 to 1")
+	p.Add(c.RoomPart >= 0 && c.RoomPart < 1, "room_part", c.RoomPart, "a number from 0 and less than 1")
 }
 
 const (
@@ -79,6 +94,40 @@
 	return median, reserve
 }
 
+// Output is what a caller says of the output of a generation, in tokens.
+type Output struct {
+	Route string
+	// Hint is the caller's estimate, 0 for none; Most bounds the output.
+	Hint int
+	Most int
+}
+
+// Needs is what a generation is expected to need.
+type Needs struct {
+	// Cost is the expected work in tokens.
+	Cost int
+	// Held is the memory to set aside on the decode engine, Room what must be free
+	// there beside it, in tokens.
+	Held int
+	Room int
+	// Duration is the time of the decode, in nearly all cases.
+	Duration time.Duration
+	// Output is the expected output in tokens.
+	Output int
+}
+
+// Needs returns what a generation needs on an engine with memory for kvTokens.
+func (l *Lengths) Needs(promptTokens int, out Output, kvTokens int) Needs {
+	median, reserve := l.Predict(out.Route, out.Hint, out.Most)
+	return Needs{
+		Cost:     promptTokens + median,
+		Held:     promptTokens + int(l.cfg.HeldPart*float64(reserve)),
+		Room:     int(l.cfg.RoomPart * float64(kvTokens)),
+		Duration: l.Duration(out.Route, out.Most, reserve),
+		Output:   median,
+	}
+}
+
 // Duration returns how long engines take for an output, by the recent pace of the
 // route.
 func (l *Lengths) Duration(route string, most, tokens int) time.Duration {
@@ -89,19 +138,19 @@
 
 // Observe takes in a complete output and the time from its first token to the
 // last.
-func (l *Lengths) Observe(route string, hint, most, output int, took time.Duration) {
-	if most > 0 && output > 0 && took > 0 {
+func (l *Lengths) Observe(out Output, output int, took time.Duration) {
+	if out.Most > 0 && output > 0 && took > 0 {
 		l.mu.Lock()
-		r := l.route(route, most)
+		r := l.route(out.Route, out.Most)
 		r.pace += time.Duration(paceGain * float64(took/time.Duration(output)-r.pace))
 		l.mu.Unlock()
 	}
-	if hint <= 0 || most <= 0 || output <= 0 {
+	if out.Hint <= 0 || out.Most <= 0 || output <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.route(route, most).add(math.Log(float64(hint)), math.Log(float64(output)), 1)
+	l.route(out.Route, out.Most).add(math.Log(float64(out.Hint)), math.Log(float64(output)), 1)
 }
 
 func (l *Lengths) route(name string, most int) *regression {
--- a/quotation/length_test.go
+++ b/quotation/length_test.go
@@ -25,7 +25,11 @@
 	for i := range 2000 {
 		hint, output := outputs(r, most)
 		_, reserve := lengths.Predict("survey", hint, most)
-		lengths.Observe("survey", hint, most, output, time.Duration(output)*time.Millisecond)
+		lengths.Observe(Output{
+			Route: "survey",
+			Hint:  hint,
+			Most:  most,
+		}, output, time.Duration(output)*time.Millisecond)
 		if i < 100 {
 			continue
 		}
@@ -47,6 +51,26 @@
 	c.Assert(lengths.Duration("survey", most, 5000).Round(100*time.Millisecond), qt.Equals, 5*time.Second)
 }
 
+func TestNeeds(t *testing.T) {
+	c := qt.New(t)
+	lengths := NewLengths(LengthConfig{
+		Deviations: 1,
+		HeldPart:   0.5,
+		RoomPart:   0.1,
+	})
+	out := Output{
+		Route: "survey",
+		Hint:  500,
+		Most:  1000,
+	}
+	median, reserve := lengths.Predict(out.Route, out.Hint, out.Most)
+	needs := lengths.Needs(3000, out, 80_000)
+	c.Assert(needs.Cost, qt.Equals, 3000+median)
+	c.Assert(needs.Held, qt.Equals, 3000+reserve/2)
+	c.Assert(needs.Room, qt.Equals, 8000)
+	c.Assert(needs.Duration, qt.Equals, time.Duration(reserve)*assumedPace)
+}
+
 func TestLengthsBounds(t *testing.T) {
 	c := qt.New(t)
 	lengths := NewLengths(DefaultLengthConfig())
@@ -56,5 +80,5 @@
 	}
 	median, reserve := lengths.Predict("survey", 50, 0)
 	c.Assert([]int{median, reserve}, qt.DeepEquals, []int{50, 50})
-	lengths.Observe("survey", 0, 0, -1, 0)
+	lengths.Observe(Output{Route: "survey"}, -1, 0)
 }
