--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -283,8 +283,10 @@
 
 func TestBufferBound(t *testing.T) {
 	c := qt.New(t)
+	entered := make(chan struct{}, 1)
 	hold := make(chan struct{})
 	server, address := serve(c, func(_ context.Context, w *Writer, _ Exchange) {
+		entered <- struct{}{}
 		<-hold
 		w.Respond(http.StatusOK, http.Header{}, nil)
 	})
@@ -293,9 +295,7 @@
 	first, r1 := dial(c, address)
 	_, err := io.WriteString(first, post)
 	c.Assert(err, qt.IsNil)
-	for server.buffered.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	<-entered
 	second, r2 := dial(c, address)
 	resp, _ := exchange(c, second, r2, post)
 	c.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
