intake: Share starts between kinds of requests by fair queueing

Cause: the backlog served the cheapest first whatever its kind, so that the load of one kind took the places of the others. Change: waiting requests that can be on time take turns by kind, by cost; inside a kind the cheapest goes first as before.

--- a/firing/queue.go
+++ b/firing/queue.go
@@ -53,6 +53,7 @@
 // Enter waits until it is the request's turn to be placed.
 func (q *BacklogQueue) Enter(ctx context.Context, req Request, patience Patience) (Turn, *receipt.Reason) {
 	turn, reason := q.backlog.Enter(ctx, intake.Job{
+		Class:  req.Class,
 		Cost:   req.cost(),
 		OnTime: patience.Until,
 		Latest: patience.Latest,
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -47,6 +47,9 @@
 
 // Job is a request that waits in a Backlog.
 type Job struct {
+	// Class is the kind of request. Classes that wait share the starts evenly by
+	// cost, so that the load of one takes no more than its part from the others.
+	Class string
 	// Cost is the expected work in tokens.
 	Cost int
 	// OnTime is the time up to which a start still meets the request's objective,
@@ -58,8 +61,8 @@
 
 // Backlog lets requests for engines wait for a start. It answers bursts that ask
 // for more than the engines' memory holds: among the requests that can still
-// meet their objective the cheapest goes first, so that as many callers as
-// possible are served in time; those that no longer can wait in order of arrival
+// meet their objective the cheapest of each class goes first, so that as many
+// callers as possible are served in time, and the classes by fair queueing; those that no longer can wait in order of arrival
 // for room that the others leave, and are refused at once when there are more of
 // them than can be started in a useful time.
 type Backlog struct {
@@ -73,11 +76,18 @@
 	closedUntil time.Time
 	reopen      *time.Timer
 	starts      startRate
+	// now is the virtual time of fair queueing, finish the one at which the work of
+	// each class so far ends.
+	now    float64
+	finish map[string]float64
 }
 
 // NewBacklog returns an empty backlog.
 func NewBacklog(cfg BacklogConfig) *Backlog {
-	b := &Backlog{cfg: cfg}
+	b := &Backlog{
+		cfg:    cfg,
+		finish: map[string]float64{},
+	}
 	b.starts.since = time.Now()
 	return b
 }
@@ -135,6 +145,8 @@
 	placing bool
 	hurried bool
 	started bool
+	// start is the virtual time of the turn.
+	start float64
 }
 
 // Patient tells whether the request is late and leaves some room to others.
@@ -171,6 +183,7 @@
 	if !t.started {
 		t.started = true
 		b.starts.add(time.Now())
+		b.chargeLocked(t)
 	}
 	b.endPlacingLocked(t)
 	b.grantLocked()
@@ -330,8 +343,7 @@
 		var t *JobTurn
 		switch {
 		case len(b.onTime) > 0:
-			t = b.onTime[0]
-			b.onTime = slices.Delete(b.onTime, 0, 1)
+			t = b.takeFairLocked()
 		case len(b.late) > 0:
 			t = b.late[0]
 			b.late = slices.Delete(b.late, 0, 1)
@@ -344,6 +356,43 @@
 	}
 }
 
+// takeFairLocked takes the cheapest request of the class whose turn it is.
+func (b *Backlog) takeFairLocked() *JobTurn {
+	best := 0
+	seen := map[string]bool{}
+	for at, t := range b.onTime {
+		if t.hurried {
+			best = at
+			break
+		}
+		if seen[t.job.Class] {
+			continue
+		}
+		seen[t.job.Class] = true
+		t.start = max(b.now, b.finish[t.job.Class])
+		if t.start < b.onTime[best].start {
+			best = at
+		}
+	}
+	t := b.onTime[best]
+	b.onTime = slices.Delete(b.onTime, best, best+1)
+	return t
+}
+
+// chargeLocked adds the cost of a start to its class.
+func (b *Backlog) chargeLocked(t *JobTurn) {
+	if t.isLate || t.hurried {
+		return
+	}
+	b.now = max(b.now, t.start)
+	b.finish[t.job.Class] = max(t.start, b.finish[t.job.Class]) + float64(t.job.Cost)
+	for class, finish := range b.finish {
+		if finish <= b.now {
+			delete(b.finish, class)
+		}
+	}
+}
+
 const (
 	// startWindow is the time over which the rate of starts is taken.
 	startWindow = 2 * time.Second
--- a/intake/backlog_test.go
+++ b/intake/backlog_test.go
@@ -196,3 +196,72 @@
 		broken.Close()
 	})
 }
+
+// One class of requests is pressed to three times its load, while room for 20
+// starts a second was enough for both: the other one's share in time stays.
+func TestBacklogKeepsClassesApart(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		press int
+	}{
+		{
+			name:  "usual",
+			press: 1,
+		},
+		{
+			name:  "pressed",
+			press: 3,
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				b := NewBacklog(BacklogConfig{
+					Placing:     2,
+					LateSeconds: 4,
+					LateMS:      2800,
+					ReturnMS:    4000,
+				})
+				const tick = 50 * time.Millisecond
+				room := make(chan struct{}, 2)
+				var mu sync.Mutex
+				asked, inTime := map[string]int{}, map[string]int{}
+				ask := func(class string, cost int) {
+					asked[class]++
+					job := jobOf(cost, 700*time.Millisecond, 2800*time.Millisecond)
+					job.Class = class
+					began := time.Now()
+					go func() {
+						if b.startsBy(t.Context(), room, job) && time.Since(began) <= 700*time.Millisecond {
+							mu.Lock()
+							inTime[class]++
+							mu.Unlock()
+						}
+					}()
+				}
+				for at := range 400 {
+					time.Sleep(tick)
+					select {
+					case room <- struct{}{}:
+					default:
+					}
+					b.Wake()
+					if at%3 == 0 {
+						// The pressed class is the cheaper one: cost alone would let it
+						// go first each time.
+						for range test.press {
+							ask("drafts", 5)
+						}
+					}
+					if at%3 == 1 {
+						ask("quotes", 10)
+					}
+				}
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				share := float64(inTime["quotes"]) / float64(asked["quotes"])
+				c.Assert(share >= 0.95, qt.IsTrue, qt.Commentf("%d of %d quotes in time", inTime["quotes"], asked["quotes"]))
+			})
+		})
+	}
+}
