quotation: Take the likely longest output for what must end in time

Change: what must end by a time goes by the output that one in forty exceeds; memory goes by the former one as before.

--- a/quotation/length.go
+++ b/quotation/length.go
@@ -85,13 +85,12 @@
 	if most <= 0 {
 		return hint, hint
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	center, deviation := l.route(route, most).at(hint)
-	limit := float64(most)
-	median = int(min(math.Exp(center), limit))
-	reserve = int(min(math.Exp(center+l.cfg.Deviations*deviation), limit))
-	return median, reserve
+	out := Output{
+		Route: route,
+		Hint:  hint,
+		Most:  most,
+	}
+	return l.quantile(out, 0), l.quantile(out, l.cfg.Deviations)
 }
 
 // Output is what a caller says of the output of a generation, in tokens.
@@ -119,15 +118,31 @@
 // Needs returns what a generation needs on an engine with memory for kvTokens.
 func (l *Lengths) Needs(promptTokens int, out Output, kvTokens int) Needs {
 	median, reserve := l.Predict(out.Route, out.Hint, out.Most)
+	longest := l.quantile(out, longestDeviations)
 	return Needs{
 		Cost:     promptTokens + median,
 		Held:     promptTokens + int(l.cfg.HeldPart*float64(reserve)),
 		Room:     int(l.cfg.RoomPart * float64(kvTokens)),
-		Duration: l.Duration(out.Route, out.Most, reserve),
+		Duration: l.Duration(out.Route, out.Most, longest),
 		Output:   median,
 	}
 }
 
+// longestDeviations is where an output counts as the longest that is likely: one in
+// 40 is longer.
+const longestDeviations = 2
+
+// quantile returns the output at some standard deviations from the median.
+func (l *Lengths) quantile(out Output, deviations float64) int {
+	if out.Most <= 0 {
+		return out.Hint
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	center, deviation := l.route(out.Route, out.Most).at(out.Hint)
+	return int(min(math.Exp(center+deviations*deviation), float64(out.Most)))
+}
+
 // Duration returns how long engines take for an output, by the recent pace of the
 // route.
 func (l *Lengths) Duration(route string, most, tokens int) time.Duration {
