provenance: Explain a request's end from log lines

On-call engineers had lines without a level for what failed, reasons as one text, no line when work was sent out, and nothing that put them together.

Change: common/event is the vocabulary of lines; receipt.Reason writes its step, code, peer and error as fields, with what decided it (intake.CrowdError); placements and calls are logged when they go out, so that a killed instance leaves a trace; common/logbook bounds lines and bytes a second without blocking, what went well first, and counts what it leaves out; balsamlock-ctl explain reads any logs, in any order, and tells the cause in a sentence. All programs log to standard output.

Ruled out: sampling by request id, since the routine lines that are left out first are of requests that went well.

--- a/cmd/balsamlock-ctl/main.go
+++ b/cmd/balsamlock-ctl/main.go
@@ -18,6 +18,7 @@
 	os.Exit(ctl.Run(ctl.Deps{
 		Args:   os.Args[1:],
 		Getenv: os.Getenv,
+		Stdin:  os.Stdin,
 		Stdout: os.Stdout,
 		Stderr: os.Stderr,
 	}))
--- a/cmd/balsamlock-gateway/main.go
+++ b/cmd/balsamlock-gateway/main.go
@@ -16,7 +16,6 @@
 func main() {
 	cfg := platform.DefaultConfig()
 	program.MainWithFile("balsamlock-gateway", &cfg, func(g *run.Group, file string) error {
-		program.LogToStdout("balsamlock-gateway")
 		instance := platform.New(platform.Deps{
 			Config: cfg,
 			File:   file,
--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -66,6 +66,9 @@
 	}()
 	x, status := c.read(limits)
 	if status != 0 {
+		if rejected := c.server.deps.Rejected; rejected != nil {
+			rejected(c.net.RemoteAddr().String(), status)
+		}
 		c.refuse(status)
 		return false
 	}
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -28,6 +28,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/balsamlock/balsamlock/common/event"
 )
 
 // Limits bound what a caller may send and how long it may take.
@@ -65,6 +69,9 @@
 	BufferBytes int64
 	// WriteTimeout bounds each write to a caller.
 	WriteTimeout time.Duration
+	// Rejected is told of requests that were answered with a status before they were
+	// read whole; may be nil.
+	Rejected func(remote string, status int)
 }
 
 // Server accepts connections until Close.
@@ -101,6 +108,7 @@
 		case s.closed.Load() || errors.Is(err, net.ErrClosed):
 			return nil
 		default:
+			log.Warn().Str(event.Key, string(event.AcceptFailed)).Err(err).Msg("connection not accepted")
 			time.Sleep(acceptPause)
 		}
 	}
--- a/common/program/log.go
+++ b/common/program/log.go
@@ -1,35 +1,37 @@
 package program
 
 import (
-	"os"
+	"io"
 
 	"github.com/phuslu/log"
-)
 
-const (
-	// logQueue bounds the log lines that wait to be written; more are dropped, so
-	// that no request waits for the log.
-	logQueue = 4096
+	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/logbook"
 )
 
-// LogToStdout sends the default logger to standard output as JSON lines, without
-// ever blocking.
-func LogToStdout(name string) {
-	UseJSONLog(name)
-	log.DefaultLogger.Writer = &log.AsyncWriter{
-		ChannelSize:   logQueue,
-		DiscardOnFull: true,
-		Writer:        &log.IOWriter{Writer: os.Stdout},
-	}
+// Logged are settings that bound the log.
+type Logged interface {
+	// Logbook returns the name of the instance, empty for none, and the bounds.
+	Logbook() (instance string, cfg logbook.Config)
 }
 
-// UseJSONLog sends the default logger to standard error as JSON lines that
-// carry the program's name.
-func UseJSONLog(name string) {
+// useLog sends the default logger to out as JSON lines that carry the program's
+// name, and its instance's if there is one, without ever blocking. The book must be closed.
+func useLog(name string, cfg any, out io.Writer) *logbook.Book {
+	instance, bounds := "", logbook.DefaultConfig()
+	if logged, ok := cfg.(Logged); ok {
+		instance, bounds = logged.Logbook()
+	}
+	context := log.NewContext(nil).Str("program", name)
+	if instance != "" {
+		context = context.Str(event.Instance, instance)
+	}
 	log.DefaultLogger = log.Logger{
-		Level:      log.InfoLevel,
+		Level:      log.DebugLevel,
 		TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Context:    log.NewContext(nil).Str("program", name).Value(),
-		Writer:     &log.IOWriter{Writer: os.Stderr},
+		Context:    context.Value(),
 	}
+	book := logbook.New(bounds, out, log.DefaultLogger)
+	log.DefaultLogger.Writer = book
+	return book
 }
--- a/common/program/program.go
+++ b/common/program/program.go
@@ -89,7 +89,9 @@
 		_, _ = fmt.Fprintln(stdout, "settings ok:", opts.Settings)
 		return ExitOK
 	}
-	return runGroup(name, func(g *run.Group) error { return setup(g, opts.Settings) })
+	book := useLog(name, cfg, stdout)
+	defer book.Close()
+	return runGroup(func(g *run.Group) error { return setup(g, opts.Settings) })
 }
 
 func usage(err error, stdout, stderr io.Writer) int {
@@ -102,8 +104,7 @@
 	return ExitUsage
 }
 
-func runGroup(name string, setup func(g *run.Group) error) int {
-	UseJSONLog(name)
+func runGroup(setup func(g *run.Group) error) int {
 	var g run.Group
 	g.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
 	if err := setup(&g); err != nil {
--- a/counter/completion.go
+++ b/counter/completion.go
@@ -7,6 +7,9 @@
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/firing"
 	"github.com/balsamlock/balsamlock/kiln"
@@ -207,6 +210,12 @@
 }
 
 func (h *Handler) answered(x Exchange, class string) {
+	log.Debug().Str(event.Key, string(event.Request)).Str(event.ID, x.ID).
+		Str("caller", x.callerName()).
+		Str("route", class).
+		Int64("took_ms", time.Since(x.Begin).Milliseconds()).
+		Str("outcome", string(event.Answered)).
+		Msg("request ended")
 	h.deps.Metrics.Count("answered", class)
 	h.deps.Metrics.Observe(metrics.CallTime, x.callerName(), class, time.Since(x.Begin))
 }
--- a/counter/refusal.go
+++ b/counter/refusal.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/receipt"
 )
 
@@ -138,16 +139,17 @@
 
 func (h *Handler) account(x Exchange, reason receipt.Reason, ran Ran) {
 	h.deps.Metrics.Count("refused", string(reason.Code))
-	entry := log.Info()
-	if StatusOf(reason.Code) >= http.StatusInternalServerError {
-		entry = log.Warn()
+	outcome := event.Unknown
+	switch {
+	case ran == RanNot:
+		outcome = event.NotRun
+	case reason.Code == receipt.CodeStreamCut:
+		outcome = event.Cut
 	}
-	entry.Str("request", x.ID).
+	log.Warn().Str(event.Key, string(event.Request)).Str(event.ID, x.ID).
 		Str("caller", x.callerName()).
-		Str("step", string(reason.Step)).
-		Str("peer", reason.Peer).
-		Str("code", string(reason.Code)).
-		Str("ran", string(ran)).
-		Err(reason.Err).
-		Msg("refused")
+		Int64("took_ms", time.Since(x.Begin).Milliseconds()).
+		Str("outcome", string(outcome)).
+		EmbedObject(reason).
+		Msg("request ended")
 }
--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -32,6 +32,8 @@
 	// Args are the arguments without the program's name.
 	Args   []string
 	Getenv func(name string) string
+	// Stdin is read by commands that take logs; may be nil.
+	Stdin  io.Reader
 	Stdout io.Writer
 	Stderr io.Writer
 	// HTTP is the client for all calls, nil for a new one.
@@ -106,6 +108,12 @@
 
 func (a *app) commands() []command {
 	return []command{
+		{
+			name:  "explain",
+			short: "tell a request's life from logs",
+			long:  "Reads the logs of any number of instances, prints the lines about one request in order and why it ended as it did. Exits with 9 if no line names it.",
+			data:  &explainCommand{app: a},
+		},
 		{
 			name:  "check",
 			short: "check a document",
@@ -173,6 +181,7 @@
   6  the outcome is unknown: publish again with --record-id
   7  the documents differ (diff)
   8  not every instance answers and has the newest document in force
+  9  no line of the logs names the request (explain)
 
 The operator's key is read from the file of --operator-key-file or from the
 environment variable BALSAMLOCK_OPERATOR_KEY.`
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -225,3 +225,59 @@
 	c.Assert(restore(), qt.Equals, ctl.ExitOK)
 	c.Assert(b.shown().Callers, qt.HasLen, 3)
 }
+
+// explain reads logs from files or standard input; no line of the request is an
+// exit code of its own.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	log := `{"time":"2026-12-04T10:00:08.010Z","instance":"entry-1","event":"request","id":"a1","outcome":"no_route"}` + "\n"
+	file := filepath.Join(c.TempDir(), "entry-1.log")
+	c.Assert(os.WriteFile(file, []byte(log), 0o600), qt.IsNil)
+	run := func(stdin string, args ...string) (int, string) {
+		var stdout, stderr bytes.Buffer
+		code := ctl.Run(ctl.Deps{
+			Args:   append([]string{"explain"}, args...),
+			Getenv: func(string) string { return "" },
+			Stdin:  strings.NewReader(stdin),
+			Stdout: &stdout,
+			Stderr: &stderr,
+		})
+		return code, stdout.String() + stderr.String()
+	}
+	for name, test := range map[string]struct {
+		stdin string
+		args  []string
+		code  int
+		want  string
+	}{
+		"file": {
+			args: []string{"a1", file},
+			code: ctl.ExitOK,
+			want: "No route of the configuration in force matches it; it was answered with 404.",
+		},
+		"standard input": {
+			stdin: log,
+			args:  []string{"a1"},
+			code:  ctl.ExitOK,
+			want:  "No route of the configuration",
+		},
+		"unknown": {
+			args: []string{"a2", file},
+			code: ctl.ExitNotFound,
+			want: `no line names request "a2"`,
+		},
+		"no file": {
+			args: []string{"a1", file + ".gone"},
+			code: ctl.ExitFailed,
+			want: "read log: ",
+		},
+		"no id": {
+			code: ctl.ExitUsage,
+			want: "ID",
+		},
+	} {
+		code, text := run(test.stdin, test.args...)
+		c.Check(code, qt.Equals, test.code, qt.Commentf("%s: %s", name, text))
+		c.Check(strings.Contains(text, test.want), qt.IsTrue, qt.Commentf("%s: %s", name, text))
+	}
+}
--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -18,6 +18,7 @@
 	ExitUnknown       = 6
 	ExitDiffers       = 7
 	ExitNotEverywhere = 8
+	ExitNotFound      = 9
 )
 
 // exitError is an error with its exit code.
--- a/entry/config.go
+++ b/entry/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/balsamlock/balsamlock/common/logbook"
 	"github.com/balsamlock/balsamlock/common/settings"
 	"github.com/balsamlock/balsamlock/counter"
 	"github.com/balsamlock/balsamlock/crew"
@@ -46,8 +47,10 @@
 	Draft     draft.Config          `json:"draft"`
 	Reclaim   reclaim.Config        `json:"reclaim"`
 	Workshop  workshop.CallerConfig `json:"workshop"`
-	Foreman   foreman.Config        `json:"foreman"`
-	Steward   steward.Config        `json:"steward"`
+	// Log bounds the log.
+	Log     logbook.Config `json:"log"`
+	Foreman foreman.Config `json:"foreman"`
+	Steward steward.Config `json:"steward"`
 }
 
 // DefaultConfig returns the settings that hold when none are given.
@@ -65,6 +68,7 @@
 		Reclaim:           reclaim.DefaultConfig(),
 		Foreman:           foreman.DefaultConfig(),
 		Workshop:          workshop.DefaultCallerConfig(),
+		Log:               logbook.DefaultConfig(),
 		Steward:           steward.DefaultConfig(),
 	}
 }
@@ -91,6 +95,7 @@
 	cfg.Reclaim.Check(p.In("reclaim"))
 	cfg.Foreman.Check(p.In("foreman"))
 	cfg.Workshop.Check(p.In("workshop"))
+	cfg.Log.Check(p.In("log"))
 	cfg.Steward.Check(p.In("steward"))
 }
 
@@ -99,3 +104,6 @@
 }
 
 var _ settings.Checker = (*Config)(nil)
+
+// Logbook returns the bounds of the log; an instance gets its name when it starts.
+func (cfg *Config) Logbook() (instance string, bounds logbook.Config) { return "", cfg.Log }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/common/peerkey"
 	"github.com/balsamlock/balsamlock/common/transport"
@@ -125,7 +126,7 @@
 	i.addServers(&g, listeners)
 	i.addControllers(&g)
 	g.Add(i.awaitStop, i.Stop)
-	log.Info().Str("instance", i.id).
+	log.Info().Str(event.Key, string(event.Start)).Str(event.Instance, i.id).
 		Str("data_centre", i.cfg.DataCentre).
 		Str("listen", i.cfg.Listen).
 		Msg("instance started")
@@ -158,11 +159,14 @@
 
 func (i *Instance) shutDown(ctx context.Context) {
 	begin := time.Now()
+	log.Info().Str(event.Key, string(event.Stop)).Str(event.Instance, i.id).
+		Int64("in_progress", i.gate.Active()).
+		Msg("stopping")
 	i.leave(ctx)
 	left := i.gate.Close(ctx)
 	drafts := i.desk.Drain(ctx)
 	orders := i.orders.Drain(ctx)
-	log.Info().Str("instance", i.id).
+	log.Info().Str(event.Key, string(event.Stopped)).Str(event.Instance, i.id).
 		Int64("requests_cut", left).
 		Int("drafts_left", drafts).
 		Int("orders_unrecorded", orders).
--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -6,6 +6,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -63,6 +64,7 @@
 	if result != verdictDone {
 		return kiln.PrefillResult{}, result, reason
 	}
+	a.logPlaced()
 	return a.prefill(ctx)
 }
 
@@ -206,13 +208,24 @@
 		a.g.runner.deps.Metrics.Count("reservations", "refused")
 		return
 	}
-	line := log.Info().Str("event", "attempt").Str("id", a.g.req.ID).Int("try", a.g.tries).
-		Str("prefill", a.plan.Prefill.Address).Str("decode", a.plan.Decode.Address).
-		Int64("expected_ms", a.plan.Ready().Milliseconds()).Int("memory_tokens", a.g.req.memoryTokens()).
-		Int("room_tokens", a.g.req.Room).Int64("load_age_ms", a.plan.Decode.Age(time.Now()).Milliseconds()).
-		Int("from", a.g.next).Int64("took_ms", took.Milliseconds()).Str("verdict", result.name())
+	line := log.Debug()
 	if result != verdictDone {
-		line.Str("reason", reason.Error())
+		line = log.Warn()
 	}
-	line.Msg("attempt")
+	line.Str(event.Key, string(event.Attempt)).Str(event.ID, a.g.req.ID).Int("try", a.g.tries).
+		Str("prefill", a.plan.Prefill.Name).Str("decode", a.plan.Decode.Name).
+		Int("events", a.g.next).Int64("took_ms", took.Milliseconds()).Str("verdict", result.name())
+	if result != verdictDone {
+		line.EmbedObject(reason)
+	}
+	line.Msg("attempt ended")
+}
+
+// logPlaced writes why an attempt runs where it does, once its slot is reserved.
+func (a *attempt) logPlaced() {
+	log.Debug().Str(event.Key, string(event.Placed)).Str(event.ID, a.g.req.ID).Int("try", a.g.tries).
+		Str("prefill", a.plan.Prefill.Name).Str("decode", a.plan.Decode.Name).
+		Int64("waited_ms", time.Since(a.g.started).Milliseconds()).Int64("expected_ms", a.plan.Ready().Milliseconds()).
+		Int("memory_tokens", a.g.req.memoryTokens()).Int("room_tokens", a.g.req.Room).
+		Int64("load_age_ms", a.plan.Decode.Age(time.Now()).Milliseconds()).Int("from", a.g.next).Msg("placed")
 }
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -139,9 +139,7 @@
 	began := time.Now()
 	result, reason := a.run(ctx)
 	a.close(result)
-	if g.req.Strict {
-		a.log(result, reason, time.Since(began))
-	}
+	a.log(result, reason, time.Since(began))
 	switch result {
 	case verdictDone:
 		return receipt.Answered{Status: 200}
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -277,20 +277,27 @@
 // turnLateLocked marks a request as late unless there are too many already.
 func (b *Backlog) turnLateLocked(t *JobTurn, now time.Time) *receipt.Reason {
 	if t.job.Latest.IsZero() || !now.Before(t.job.Latest) {
-		return b.overloaded()
+		return b.overloadedLocked(t, now)
 	}
 	if float64(len(b.late)) >= b.cfg.LateSeconds*b.starts.perSecond(now) {
-		return b.overloaded()
+		return b.overloadedLocked(t, now)
 	}
 	t.isLate = true
 	return nil
 }
 
-func (b *Backlog) overloaded() *receipt.Reason {
+// overloadedLocked refuses a request, with what decided it.
+func (b *Backlog) overloadedLocked(t *JobTurn, now time.Time) *receipt.Reason {
 	return &receipt.Reason{
 		Code:       receipt.CodeOverloaded,
 		Step:       receipt.StepAdmit,
 		RetryAfter: time.Duration(b.cfg.ReturnMS) * time.Millisecond,
+		Err: &CrowdError{
+			Waited:          now.Sub(t.arrived),
+			Waiting:         len(b.onTime),
+			Late:            len(b.late),
+			StartsPerSecond: b.starts.perSecond(now),
+		},
 	}
 }
 
@@ -303,7 +310,7 @@
 		return nil
 	}
 	if t.isLate {
-		return b.overloaded()
+		return b.overloadedLocked(t, now)
 	}
 	return b.pushLocked(t, now)
 }
--- /dev/null
+++ b/provenance/provenance_test.go
@@ -0,0 +1,75 @@
+package provenance_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/provenance"
+)
+
+func lifeOf(c *qt.C, id, log string) provenance.Life {
+	c.Helper()
+	reader := provenance.NewReader(id)
+	c.Assert(reader.Read("entry-9.log", strings.NewReader(log)), qt.IsNil)
+	return reader.Life()
+}
+
+const frozen = `
+{"time":"2026-12-04T10:00:00.000Z","instance":"entry-1","event":"configuration","version":3}
+{"time":"2026-12-04T10:00:08.000Z","instance":"entry-1","event":"clock_jumped","by_ms":6400}
+{"time":"2026-12-04T10:00:08.000Z","instance":"entry-2","event":"clock_jumped","by_ms":9900}
+{"time":"2026-12-04T10:00:08.010Z","instance":"entry-1","event":"attempt","id":"a1","try":1,"decode":"d1","prefill":"p1","verdict":"stop","step":"decode","code":"cancelled","error":"context canceled"}
+{"time":"2026-12-04T10:00:08.010Z","instance":"entry-1","event":"request","id":"a1","outcome":"cut","events":7,"took_ms":7000,"step":"decode","code":"cancelled"}
+{"time":"2026-12-04T10:00:08.010Z","instance":"entry-1","event":"server","server":"d1","state":"live"}
+{"time":"2026-12-04T10:00:08.010Z","instance":"entry-1","event":"server","server":"d7","state":"live"}
+`
+
+// A process that stood still is told of, and lines of other instances and servers
+// are left out.
+func TestFrozenInstance(t *testing.T) {
+	c := qt.New(t)
+	life := lifeOf(c, "a1", frozen)
+	c.Check(life.Cause(), qt.Equals,
+		"Its stream broke off after 7 events: its caller left after 7000 ms (try 1 at d1: context canceled); instance entry-1 stood still for 6400 ms meanwhile, or its clock was set.")
+	c.Assert(life.Around(), qt.HasLen, 3)
+	for _, line := range life.Around() {
+		c.Check(line.Instance, qt.Equals, "entry-1")
+		c.Check(line.Server == "" || line.Server == "d1", qt.IsTrue)
+	}
+}
+
+// Requests that no line names, lines that can't be read and lines left out.
+func TestMissingLines(t *testing.T) {
+	c := qt.New(t)
+	life := lifeOf(c, "a2", frozen)
+	c.Check(life.Known(), qt.IsFalse)
+	c.Check(life.Cause(), qt.Matches, "No line names it: it reached no instance, .* before it was read\\.")
+	c.Check(life.Around(), qt.HasLen, 0)
+
+	life = lifeOf(c, "a2", frozen+`{"event":"log_left_out","routine":30,"kept":2}`)
+	c.Check(life.Cause(), qt.Matches, ".*; 32 lines were left out of the logs, .*")
+
+	life = lifeOf(c, "a1", `{"event":"request","id":"a1","outc`+"\n"+`{"event":"call","id":"a1","server":"w1"}`)
+	c.Check(life.Torn, qt.Equals, 1)
+	c.Check(life.Cause(), qt.Equals, "The logs end while server w1 worked for it: instance entry-9.log ended or stood still, or lines are missing.")
+}
+
+// Any bytes are read without harm.
+func FuzzRead(f *testing.F) {
+	f.Add(frozen)
+	f.Add(`{"event":"request","id":"a1","outcome":"answered","status":200,"servers":[]}`)
+	f.Add("{\"id\":\"a1\"}\n\x00{}")
+	f.Fuzz(func(t *testing.T, log string) {
+		reader := provenance.NewReader("a1")
+		if err := reader.Read("fuzz", strings.NewReader(log)); err != nil {
+			return
+		}
+		life := reader.Life()
+		if life.Cause() == "" {
+			t.Fatal("a life without a cause")
+		}
+		life.Around()
+	})
+}
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -25,6 +25,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/balsamlock/balsamlock/common/invariant"
 	"github.com/balsamlock/balsamlock/common/mutation"
 )
@@ -103,6 +105,26 @@
 	return text
 }
 
+// MarshalObject adds the reason to a log line, with what the underlying error
+// adds of itself.
+func (r Reason) MarshalObject(e *log.Entry) {
+	e.Str("step", string(r.Step)).Str("code", string(r.Code))
+	if r.Peer != "" {
+		e.Str("peer", r.Peer)
+	}
+	if r.RetryAfter > 0 {
+		e.Int64("retry_after_ms", r.RetryAfter.Milliseconds())
+	}
+	if r.Err == nil {
+		return
+	}
+	e.Str("error", r.Err.Error())
+	var inputs log.ObjectMarshaler
+	if errors.As(r.Err, &inputs) {
+		e.EmbedObject(inputs)
+	}
+}
+
 // Unwrap returns the underlying error.
 func (r Reason) Unwrap() error { return r.Err }
 
--- a/workshop/caller.go
+++ b/workshop/caller.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/common/settings"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -155,7 +156,7 @@
 		Err:  errNoServer,
 	}
 	for n, server := range call.Servers[:min(len(call.Servers), c.deps.Config.MaxTries)] {
-		if n > 0 && !c.spend(spent, call.Service, "retry") {
+		if n > 0 && !c.spend(spent, call.Request.Attempt, call.Service, "retry") {
 			reason.Err = errors.Join(errBudget, reason.Err)
 			break
 		}
@@ -216,7 +217,7 @@
 }
 
 // spend takes a retry or hedge from the budget.
-func (c *Caller) spend(a *account, service, kind string) bool {
+func (c *Caller) spend(a *account, id, service, kind string) bool {
 	ok := false
 	if c.deps.Retries != nil {
 		ok = c.deps.Retries.Take(service)
@@ -224,7 +225,8 @@
 		ok = a.take(time.Now(), c.deps.Config.Budget)
 	}
 	if !ok {
-		log.Info().Str("event", "retry_refused").Str("service", service).Str("kind", kind).Msg("retry budget spent")
+		log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, id).Str("service", service).Str("kind", kind).
+			Msg("retry budget spent")
 	}
 	if c.deps.Metrics != nil {
 		detail := kind
@@ -252,11 +254,10 @@
 		req.Attempt = fmt.Sprintf("%s-%d", req.Attempt, n)
 	}
 	began := time.Now()
+	log.Debug().Str(event.Key, string(event.Call)).Str(event.ID, call.Request.Attempt).Str("service", call.Service).
+		Str("server", server.Name).Int("try", n+1).Msg("call sent")
 	answer, err := server.Service.Call(ctx, req)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		log.Info().Str("event", "call_failed").Str("id", call.Request.Attempt).Str("service", call.Service).
-			Str("server", server.Name).Int("try", n+1).Dur("took", time.Since(began)).Err(err).Msg("call failed")
-	}
+	c.logFailure(call, server, n, answer, err, time.Since(began))
 	switch {
 	case err == nil:
 		a.observe(time.Since(began))
@@ -271,6 +272,20 @@
 	}
 }
 
+// logFailure writes why a try has no answer to pass on, or only a failure.
+func (c *Caller) logFailure(call Call, server Server, n int, answer Answer, err error, took time.Duration) {
+	if errors.Is(err, context.Canceled) || err == nil && answer.Status < http.StatusInternalServerError {
+		return
+	}
+	line := log.Warn().Str(event.Key, string(event.CallFailed)).Str(event.ID, call.Request.Attempt).Str("service", call.Service).
+		Str("server", server.Name).Int("try", n+1).Int64("took_ms", took.Milliseconds())
+	if err != nil {
+		line.Str("error", err.Error()).Msg("call failed")
+		return
+	}
+	line.Int("status", answer.Status).Msg("call answered with a failure")
+}
+
 // result is the end of one try.
 type result struct {
 	server string
--- a/workshop/race.go
+++ b/workshop/race.go
@@ -54,7 +54,7 @@
 	if r.tries >= r.caller.maxTries(r.call) || r.tries >= len(r.call.Servers) {
 		return false
 	}
-	if !r.caller.spend(r.account, r.call.Service, kind) {
+	if !r.caller.spend(r.account, r.call.Request.Attempt, r.call.Service, kind) {
 		return false
 	}
 	r.launch(ctx)
