firing: Look for another engine at no charge after a failed reservation

An engine that doesn't answer a reservation was excluded, but the attempt counted as a try and took a retry from the shared budget, which so many failures spend at once; the request was then refused though other engines had room.

Ruled out: overload (55 of them) and late lists of servers, which only explain why dead engines are asked at all.

Change: such an attempt looks for another engine at no charge, until a start is of no use. A generation's refused retry is logged.

--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -178,12 +178,15 @@
 		return verdictAgain, reason
 	case isRefusal(err):
 		a.g.exclude(address)
-		return verdictRetry, reason
 	default:
 		a.g.runner.deps.Placer.Failed(address, now)
 		a.g.exclude(address)
-		return verdictRetry, reason
 	}
+	if step == receipt.StepReserve {
+		// Nothing was sent that an engine would work on.
+		return verdictAgain, reason
+	}
+	return verdictRetry, reason
 }
 
 // names of the verdicts in logs.
@@ -202,7 +205,7 @@
 
 // log writes why an attempt ran where it did and how it ended.
 func (a *attempt) log(result verdict, reason receipt.Reason, took time.Duration) {
-	if result == verdictAgain && reason.Step == receipt.StepReserve {
+	if result == verdictAgain && reason.Code == receipt.CodeOverloaded && reason.Step == receipt.StepReserve {
 		// Refused reservations are looked for again every few milliseconds; the
 		// request's own line tells of the wait.
 		a.g.runner.deps.Metrics.Count("reservations", "refused")
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -7,6 +7,9 @@
 	"strings"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
@@ -125,9 +128,12 @@
 
 // isLate tells whether a run is expected to miss the target of the first token.
 func (g *generation) isLate(run quotation.Run) bool {
-	if !g.hasTarget() || !g.req.Latest.IsZero() || g.tooLong || g.next > 0 || g.tries > 0 {
+	if !g.hasTarget() || g.tooLong || g.next > 0 || g.tries > 0 {
 		return false
 	}
+	if !g.req.Latest.IsZero() {
+		return time.Now().After(g.req.Latest)
+	}
 	expected := time.Since(g.started) + run.Ready() + firstStep
 	return expected > g.req.FirstToken
 }
@@ -170,10 +176,12 @@
 	if g.tries >= g.runner.cfg.Tries {
 		return false
 	}
-	if g.runner.deps.Retries == nil || g.req.Class == ClassDraft {
+	if g.runner.deps.Retries == nil || g.req.Class == ClassDraft || g.runner.deps.Retries.Take(g.req.Caller) {
 		return true
 	}
-	return g.runner.deps.Retries.Take(g.req.Caller)
+	log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, g.req.ID).Str("service", g.req.Caller).
+		Str("kind", "generation").Msg("retry budget spent")
+	return false
 }
 
 // end gives the outcome of a request that was not answered whole.
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -211,3 +212,68 @@
 		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
 	})
 }
+
+// noRetries is a budget that is spent.
+type noRetries struct{}
+
+func (noRetries) First(string)     {}
+func (noRetries) Take(string) bool { return false }
+
+// Load: engines have just died and are still listed, as when a rack loses power
+// under load. Nothing was sent to one that doesn't answer a reservation: the
+// request looks for another engine at no charge to the budget of retries, which
+// the many failures have spent.
+func TestDeadEnginesCostNoRetry(t *testing.T) {
+	for name, err := range map[string]error{
+		"refused connections": &kiln.NotSentError{
+			Call: "reserve",
+			Err:  errBroken,
+		},
+		"no answers": context.DeadlineExceeded,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				engines := newFakeCrew(1, 2, 6)
+				for _, server := range engines.servers[2:7] {
+					engines.engines[server.Address].reserveErr = err
+				}
+				runner := firing.NewRunner(firing.Deps{
+					Engines:  engines,
+					Placer:   quotation.NewBook(quotation.Deps{Servers: engines}),
+					Queue:    firing.NewBacklogQueue(intake.NewBacklog(intake.DefaultBacklogConfig())),
+					Retries:  noRetries{},
+					Instance: "entry-1",
+					Config:   strictConfig(),
+				})
+				defer runner.Close()
+				served := 0
+				for n := range 40 {
+					result := runner.Run(c.Context(), strictRequest(fmt.Sprintf("r%d", n), false), &collector{})
+					if _, ok := result.Outcome.(receipt.Answered); ok {
+						served++
+					}
+				}
+				c.Check(served, qt.Equals, 40, qt.Commentf("served of 40"))
+			})
+		})
+	}
+}
+
+// With no engine that answers, a request is refused as not run once a start would be
+// of no use.
+func TestAllEnginesDeadRefuses(t *testing.T) {
+	inStrictBubble(t, true, func(c *qt.C, engines *fakeCrew, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.reserveErr = errBroken
+		}
+		began := time.Now()
+		req := strictRequest("r1", false)
+		req.Latest = began.Add(2 * time.Second)
+		result := runner.Run(c.Context(), req, &collector{})
+		_, notRun := result.Outcome.(receipt.NotRun)
+		c.Check(notRun, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+		took := time.Since(began)
+		c.Check(took <= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
+	})
+}
