--- a/firing/generation.go
+++ b/firing/generation.go
@@ -115,12 +115,6 @@
 	}
 	needed := g.runner.deps.Placer.Estimate(g.quotationRequest(), g.started) + firstStep
 	left := g.req.FirstToken - needed - milliseconds(g.runner.cfg.MarginMS)
-	if left > 0 && g.req.Age > 0 && !g.req.Latest.IsZero() {
-		return Patience{
-			Until:  g.started.Add(left - g.req.Age),
-			Latest: g.req.Latest,
-		}
-	}
 	if left <= 0 {
 		g.tooLong = true
 		left = milliseconds(g.runner.cfg.WaitMS)
--- a/firing/queue.go
+++ b/firing/queue.go
@@ -57,7 +57,6 @@
 		Cost:   req.cost(),
 		OnTime: patience.Until,
 		Latest: patience.Latest,
-		Age:    req.Age,
 	})
 	if reason != nil {
 		return nil, reason
--- a/firing/request.go
+++ b/firing/request.go
@@ -58,9 +58,6 @@
 	// Latest is the time up to which a start is still of use though it misses
 	// FirstToken; zero for never.
 	Latest time.Time
-	// Age is how long the caller has asked already, with requests that were refused:
-	// the target of the first token counts from its first one.
-	Age time.Duration
 	// AnswerBytes is the expected length of the answer, 0 if it isn't known.
 	AnswerBytes int
 	// MemoryTokens is the memory that the decode engine sets aside; 0 for the
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -57,9 +57,6 @@
 	// request is refused once it would be late.
 	OnTime time.Time
 	Latest time.Time
-	// Age is how long the caller has asked already. Among late requests the one
-	// whose caller has asked longest goes first.
-	Age time.Duration
 }
 
 // Backlog lets requests for engines wait for a start. It answers bursts that ask
@@ -152,9 +149,6 @@
 	start float64
 }
 
-// asked returns when the caller asked first.
-func (t *JobTurn) asked() time.Time { return t.arrived.Add(-t.job.Age) }
-
 // Patient tells whether the request is late and leaves some room to others.
 func (t *JobTurn) Patient() bool {
 	t.backlog.mu.Lock()
@@ -256,7 +250,7 @@
 		}
 	}
 	if t.isLate && !t.hurried {
-		b.late = insert(b.late, t, func(a, c *JobTurn) bool { return a.asked().Before(c.asked()) })
+		b.late = insert(b.late, t, func(a, c *JobTurn) bool { return a.arrived.Before(c.arrived) })
 	} else {
 		b.onTime = insert(b.onTime, t, cheaper)
 	}
