intake: Refuse at once what would likely not end by its caller's deadline

Their runs were begun like others, held engine memory for 3 s on average, and many were cut at the deadline; others missed their objective for want of that memory.

Ruled out: that they only have to wait behind others (tried, no effect).

Change: a request whose latest start has passed, by the time that its output takes in nearly all cases (two deviations), is refused at once, whether or not it could begin in time.

Test: TestBacklogRefusesWhatWouldNotEnd fails before.

--- a/firing/generation.go
+++ b/firing/generation.go
@@ -126,14 +126,14 @@
 	}
 }
 
-// isLate tells whether a run is expected to miss the target of the first token, and
-// is of no use that late.
+// isLate tells whether a run is expected to miss the target of the first token, or,
+// where a late one is of use, to come too late for that.
 func (g *generation) isLate(run quotation.Run) bool {
 	if !g.hasTarget() || g.tooLong || g.next > 0 || g.tries > 0 {
 		return false
 	}
-	if !g.req.Latest.IsZero() && time.Now().Before(g.req.Latest) {
-		return false
+	if !g.req.Latest.IsZero() {
+		return time.Now().After(g.req.Latest)
 	}
 	expected := time.Since(g.started) + run.Ready() + firstStep
 	return expected > g.req.FirstToken
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -156,6 +156,11 @@
 	return t.isLate && !t.hurried
 }
 
+// useless tells whether a start is of no use any more.
+func (t *JobTurn) useless(now time.Time) bool {
+	return !t.hurried && !t.job.Latest.IsZero() && !now.Before(t.job.Latest)
+}
+
 // Hurry puts the request before all others, without a time limit: engines have
 // worked for it already.
 func (t *JobTurn) Hurry() {
@@ -227,7 +232,7 @@
 func (t *JobTurn) limit() (<-chan time.Time, func()) {
 	t.backlog.mu.Lock()
 	until := t.job.OnTime
-	if t.isLate {
+	if t.isLate || !t.job.Latest.IsZero() && t.job.Latest.Before(until) {
 		until = t.job.Latest
 	}
 	if t.hurried {
@@ -244,6 +249,9 @@
 // pushLocked puts a request in its place.
 func (b *Backlog) pushLocked(t *JobTurn, now time.Time) *receipt.Reason {
 	t.granted = make(chan struct{})
+	if t.useless(now) {
+		return b.overloadedLocked(t, now)
+	}
 	if !t.isLate && !t.job.OnTime.IsZero() && !now.Before(t.job.OnTime) && !t.hurried {
 		if reason := b.turnLateLocked(t, now); reason != nil {
 			return reason
--- a/intake/backlog_test.go
+++ b/intake/backlog_test.go
@@ -266,3 +266,43 @@
 		})
 	}
 }
+
+// Load: a burst after which callers who were refused come back with little time
+// left. One whose run would likely not end by its deadline is refused at once, though
+// it could begin in time; others begin in its place.
+func TestBacklogRefusesWhatWouldNotEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(DefaultBacklogConfig())
+		now := time.Now()
+		latest := b.Latest(now, now.Add(5*time.Second), 6*time.Second)
+		turn, reason := b.Enter(c.Context(), Job{
+			Cost:   1,
+			OnTime: now.Add(500 * time.Millisecond),
+			Latest: latest,
+		})
+		c.Assert(turn, qt.IsNil)
+		c.Check(reason.Code, qt.Equals, receipt.CodeOverloaded)
+		c.Check(time.Since(now), qt.Equals, time.Duration(0))
+		all, _ := b.Waiting()
+		c.Check(all, qt.Equals, 0)
+
+		// One that may still begin waits up to that time, not longer.
+		busy := make([]*JobTurn, 0, 2)
+		for range 2 {
+			turn, reason := b.Enter(c.Context(), Job{Cost: 1})
+			c.Assert(reason == nil, qt.IsTrue)
+			busy = append(busy, turn)
+		}
+		_, reason = b.Enter(c.Context(), Job{
+			Cost:   1,
+			OnTime: now.Add(500 * time.Millisecond),
+			Latest: b.Latest(now, now.Add(5*time.Second), 4800*time.Millisecond),
+		})
+		c.Check(reason.Code, qt.Equals, receipt.CodeOverloaded)
+		c.Check(time.Since(now), qt.Equals, 200*time.Millisecond)
+		for _, turn := range busy {
+			turn.Close()
+		}
+	})
+}
