--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build demo test prove soak mutants scale bench measure lint format generate clean
+.PHONY: build demo test prove soak fault-soak mutants scale bench measure lint format generate clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -44,6 +44,12 @@
 soak:
 	BALSAMLOCK_SEEDS=$(SEEDS) BALSAMLOCK_SEED=$(SEED) go test -count=1 -timeout 80m -json -run '^TestProofSoak' ./entry | go run ./internal/verdict --known-red KNOWN-RED.txt --soak
 
+# Real instances as processes of their own under faults from outside: SEEDS runs
+# from seed FROM, or the one run of SEED.
+FROM ?= 100
+fault-soak:
+	BALSAMLOCK_FAULT_SEEDS=$(SEEDS) BALSAMLOCK_FAULT_FROM=$(FROM) BALSAMLOCK_FAULT_SEED=$(SEED) go test -count=1 -timeout 60m -run '^TestFaultSoak$$' -v ./platform
+
 # Cost of membership and load reports for each node at 8 to 380 nodes in virtual
 # time; writes docs/measure/scale.json and prints the table of scale.txt.
 scale:
--- a/common/event/event.go
+++ b/common/event/event.go
@@ -19,6 +19,8 @@
 	Stop    Name = "stop"
 	Stopped Name = "stopped"
 	Reload  Name = "reload"
+	// Exit is the last line of a process.
+	Exit Name = "exit"
 	// LeftOut tells how many lines were not written.
 	LeftOut Name = "log_left_out"
 	// ClockJumped tells that the process stood still, or that the time of day was
--- a/common/program/program.go
+++ b/common/program/program.go
@@ -24,6 +24,7 @@
 	"github.com/oklog/run"
 	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/settings"
 )
 
@@ -108,14 +109,14 @@
 	var g run.Group
 	g.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
 	if err := setup(&g); err != nil {
-		log.Error().Err(err).Msg("start failed")
+		log.Error().Str(event.Key, string(event.Exit)).Err(err).Msg("start failed")
 		return ExitFailed
 	}
 	err := g.Run()
 	if errors.Is(err, run.ErrSignal) || err == nil {
-		log.Info().Err(err).Msg("stopped")
+		log.Info().Str(event.Key, string(event.Exit)).AnErr("reason", err).Msg("process ends")
 		return ExitOK
 	}
-	log.Error().Err(err).Msg("stopped")
+	log.Error().Str(event.Key, string(event.Exit)).Err(err).Msg("process ends")
 	return ExitFailed
 }
