--- a/firing/runner.go
+++ b/firing/runner.go
@@ -115,11 +115,7 @@
 		switch d := decision.(type) {
 		case quotation.Run:
 			if g.isLate(d) {
-				return d, &receipt.Reason{
-					Code:       receipt.CodeOverloaded,
-					Step:       receipt.StepPlace,
-					RetryAfter: milliseconds(g.runner.cfg.RetryAfterMS),
-				}
+				return d, g.tooLate(ctx)
 			}
 			return d, nil
 		case quotation.Wait:
@@ -149,6 +145,21 @@
 	}
 }
 
+// tooLate refuses a request whose start would come too late. The queue tells why and
+// when to come back, if it knows.
+func (g *generation) tooLate(ctx context.Context) *receipt.Reason {
+	if g.turn != nil && !g.req.Latest.IsZero() {
+		if reason := g.turn.Wait(ctx, 0); reason != nil {
+			return reason
+		}
+	}
+	return &receipt.Reason{
+		Code:       receipt.CodeOverloaded,
+		Step:       receipt.StepPlace,
+		RetryAfter: milliseconds(g.runner.cfg.RetryAfterMS),
+	}
+}
+
 func (g *generation) wait(ctx context.Context, d time.Duration, deadline time.Time) *receipt.Reason {
 	if g.turn != nil {
 		// Engines may count a prefill as nothing run: such a request keeps its time
