intake: Let as many late requests wait as late ones were started lately

The bound took the rate of all starts, and one a second at least, while late ones get only what those on time leave.

Ruled out: too small a bound on small sites (flat from 2 to 4 s of starts).

Change: the bound takes the rate of late starts; one may always wait, to find out.

Test: TestBacklogKeepsNoLateRequestsInVain, 1 of 5 refused before, 4 after.

--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -15,7 +15,7 @@
 	// Placing is the number of requests that may look for an engine at one time.
 	Placing int `json:"placing"`
 	// LateSeconds bounds the late requests that wait, by the time in which they
-	// would be started at the recent rate.
+	// would be started at the recent rate of late starts; one may always wait.
 	LateSeconds float64 `json:"late_seconds"`
 	// LateMS is how long a request that misses its objective may wait for a start,
 	// in milliseconds; 0 refuses it.
@@ -64,7 +64,7 @@
 // meet their objective the cheapest of each class goes first, so that as many
 // callers as possible are served in time, and the classes by fair queueing; those that no longer can wait in order of arrival
 // for room that the others leave, and are refused at once when there are more of
-// them than can be started in a useful time.
+// them than have been started lately in a useful time.
 type Backlog struct {
 	cfg BacklogConfig
 
@@ -76,6 +76,8 @@
 	closedUntil time.Time
 	reopen      *time.Timer
 	starts      startRate
+	// lateStarts are those of late requests.
+	lateStarts startRate
 	// now is the virtual time of fair queueing, finish the one at which the work of
 	// each class so far ends.
 	now    float64
@@ -89,6 +91,7 @@
 		finish: map[string]float64{},
 	}
 	b.starts.since = time.Now()
+	b.lateStarts.since = b.starts.since
 	return b
 }
 
@@ -134,118 +137,6 @@
 	return t, nil
 }
 
-// JobTurn is one request in a backlog. It is used by one goroutine.
-type JobTurn struct {
-	backlog *Backlog
-	job     Job
-	arrived time.Time
-	granted chan struct{}
-	// isLate, placing and hurried are guarded by the backlog.
-	isLate  bool
-	placing bool
-	hurried bool
-	started bool
-	// start is the virtual time of the turn.
-	start float64
-}
-
-// Patient tells whether the request is late and leaves some room to others.
-func (t *JobTurn) Patient() bool {
-	t.backlog.mu.Lock()
-	defer t.backlog.mu.Unlock()
-	return t.isLate && !t.hurried
-}
-
-// useless tells whether a start is of no use any more.
-func (t *JobTurn) useless(now time.Time) bool {
-	return !t.hurried && !t.job.Latest.IsZero() && !now.Before(t.job.Latest)
-}
-
-// Hurry puts the request before all others, without a time limit: engines have
-// worked for it already.
-func (t *JobTurn) Hurry() {
-	t.backlog.mu.Lock()
-	defer t.backlog.mu.Unlock()
-	t.hurried = true
-}
-
-// Wait gives up the turn because no room was found and waits for the next one,
-// which comes after d at the earliest unless room is reported before.
-func (t *JobTurn) Wait(ctx context.Context, d time.Duration) *receipt.Reason {
-	b := t.backlog
-	b.mu.Lock()
-	b.endPlacingLocked(t)
-	b.closeLocked(d)
-	b.mu.Unlock()
-	return t.queue(ctx)
-}
-
-// Placed ends the turn with a start; the next request may look for room.
-func (t *JobTurn) Placed() {
-	b := t.backlog
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !t.started {
-		t.started = true
-		b.starts.add(time.Now())
-		b.chargeLocked(t)
-	}
-	b.endPlacingLocked(t)
-	b.grantLocked()
-}
-
-// Close takes the request out of the backlog. It may be called more than once.
-func (t *JobTurn) Close() {
-	b := t.backlog
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.removeLocked(t)
-	b.endPlacingLocked(t)
-	b.grantLocked()
-}
-
-// queue waits for a grant; when the request turns late, it changes its place or
-// is refused.
-func (t *JobTurn) queue(ctx context.Context) *receipt.Reason {
-	b := t.backlog
-	b.mu.Lock()
-	reason := b.pushLocked(t, time.Now())
-	b.mu.Unlock()
-	for reason == nil {
-		limit, stop := t.limit()
-		select {
-		case <-t.granted:
-			stop()
-			return nil
-		case <-limit:
-			reason = b.expire(t, time.Now())
-		case <-ctx.Done():
-			reason = ended(ctx)
-		}
-		stop()
-	}
-	t.Close()
-	return reason
-}
-
-// limit returns a channel that receives when the request turns late or useless.
-func (t *JobTurn) limit() (<-chan time.Time, func()) {
-	t.backlog.mu.Lock()
-	until := t.job.OnTime
-	if t.isLate || !t.job.Latest.IsZero() && t.job.Latest.Before(until) {
-		until = t.job.Latest
-	}
-	if t.hurried {
-		until = time.Time{}
-	}
-	t.backlog.mu.Unlock()
-	if until.IsZero() {
-		return nil, func() {}
-	}
-	timer := time.NewTimer(time.Until(until))
-	return timer.C, func() { timer.Stop() }
-}
-
 // pushLocked puts a request in its place.
 func (b *Backlog) pushLocked(t *JobTurn, now time.Time) *receipt.Reason {
 	t.granted = make(chan struct{})
@@ -287,7 +178,7 @@
 	if t.job.Latest.IsZero() || !now.Before(t.job.Latest) {
 		return b.overloadedLocked(t, now)
 	}
-	if float64(len(b.late)) >= b.cfg.LateSeconds*b.starts.perSecond(now) {
+	if float64(len(b.late)) >= max(1, b.cfg.LateSeconds*b.lateStarts.perSecond(now)) {
 		return b.overloadedLocked(t, now)
 	}
 	t.isLate = true
@@ -407,42 +298,3 @@
 		}
 	}
 }
-
-const (
-	// startWindow is the time over which the rate of starts is taken.
-	startWindow = 2 * time.Second
-	// leastStarts is the rate assumed of a backlog that has started nothing lately,
-	// per second.
-	leastStarts = 1
-)
-
-// startRate counts starts in two windows of time.
-type startRate struct {
-	since    time.Time
-	recent   int
-	previous int
-}
-
-func (s *startRate) turn(now time.Time) {
-	for now.Sub(s.since) >= startWindow {
-		if now.Sub(s.since) >= 2*startWindow {
-			s.recent = 0
-			s.since = now.Add(-startWindow)
-		}
-		s.previous = s.recent
-		s.recent = 0
-		s.since = s.since.Add(startWindow)
-	}
-}
-
-func (s *startRate) add(now time.Time) {
-	s.turn(now)
-	s.recent++
-}
-
-// perSecond returns the recent rate of starts.
-func (s *startRate) perSecond(now time.Time) float64 {
-	s.turn(now)
-	rate := max(float64(s.previous)/startWindow.Seconds(), float64(s.recent)/startWindow.Seconds())
-	return max(rate, leastStarts)
-}
--- a/intake/backlog_test.go
+++ b/intake/backlog_test.go
@@ -306,3 +306,63 @@
 		}
 	})
 }
+
+// Load: requests that are on time take every start for a while, as in a long burst.
+// Late ones would wait in vain: one waits to see whether there is room, the others
+// are refused at once, with a time to come back. Once late ones are started, as many
+// wait as can be.
+func TestBacklogKeepsNoLateRequestsInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cfg := DefaultBacklogConfig()
+		cfg.Placing = 1
+		b := NewBacklog(cfg)
+		busy, reason := b.Enter(c.Context(), jobOf(1, time.Minute, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		refused, started := 0, 0
+		late := func(n int) {
+			for range n {
+				wg.Go(func() {
+					turn, reason := b.Enter(c.Context(), jobOf(1, 0, 2800*time.Millisecond))
+					mu.Lock()
+					defer mu.Unlock()
+					if reason != nil {
+						c.Check(reason.RetryAfter, qt.Equals, 4*time.Second)
+						refused++
+						return
+					}
+					started++
+					turn.Placed()
+					turn.Close()
+				})
+			}
+			synctest.Wait()
+		}
+		late(5)
+		mu.Lock()
+		c.Check(refused, qt.Equals, 4)
+		mu.Unlock()
+
+		busy.Placed()
+		busy.Close()
+		synctest.Wait()
+		mu.Lock()
+		c.Check(started, qt.Equals, 1)
+		refused = 0
+		mu.Unlock()
+
+		// Late starts set in: 2.5 a second let 10 wait.
+		late(4)
+		busy, reason = b.Enter(c.Context(), jobOf(1, time.Minute, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+		late(12)
+		mu.Lock()
+		c.Check(refused, qt.Equals, 2)
+		mu.Unlock()
+		busy.Close()
+		wg.Wait()
+	})
+}
