--- a/demo/demo.sh
+++ b/demo/demo.sh
@@ -29,7 +29,7 @@
 trap finish EXIT
 
 start() { # name program settings
-  "$bin/$2" --settings "$3" >"$dir/$1.out" 2>"$dir/$1.log" &
+  "$bin/$2" --settings "$3" >"$dir/$1.log" 2>&1 &
   pids[$1]=$!
 }
 
