--- a/common/event/event.go
+++ b/common/event/event.go
@@ -35,6 +35,9 @@
 const (
 	Configuration        Name = "configuration"
 	ConfigurationRefused Name = "configuration_refused"
+	// ConfigurationCopied reports that this instance appended a copy of the configuration
+	// for the other instances.
+	ConfigurationCopied Name = "configuration_copied"
 	// Server reports a registered server or a change of its state.
 	Server Name = "server"
 	// ServerGone reports that a server was removed.
