platform, firing: Log the shared parts of prompts whose attempts fail

The log couldn't tell whether servers crash for a part of the prompt, for retries or for load. Lines of failed attempts now carry the shared parts and the events of this attempt alone; before, the events of earlier attempts hid that a resumed stream broke off without one. No logic changes.

--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -25,6 +25,8 @@
 	// computed is the number of prompt tokens computed since the last delivered
 	// token. They count as wasted if no further token follows.
 	computed int
+	// firstIndex is the index of the first token that this attempt may deliver.
+	firstIndex int
 }
 
 func newAttempt(g *generation, run quotation.Run) *attempt {
@@ -35,6 +37,7 @@
 		id:         id,
 		plan:       run,
 		allocation: g.runner.deps.Placer.Allocate(run, time.Now()),
+		firstIndex: g.next,
 	}
 }
 
@@ -227,9 +230,9 @@
 		Str("prefill", a.plan.Prefill.Name).Str("decode", a.plan.Decode.Name).
 		Int("events", a.g.next).Int64("took_ms", took.Milliseconds()).Str("verdict", result.name())
 	if result != resultDone {
-		entry.EmbedObject(reason)
+		entry.EmbedObject(reason).Strs("parts", a.g.req.Prompt.Parts)
 	}
-	entry.Msg("attempt ended")
+	entry.Int("events_here", a.g.next-a.firstIndex).Msg("attempt ended")
 }
 
 // logPlaced logs the placement of an attempt once its slot is reserved.
--- a/kiln/engine.go
+++ b/kiln/engine.go
@@ -51,6 +51,10 @@
 	// Blocks holds the chained content hashes of the prompt's prefix blocks, from the
 	// start; see HashBlocks.
 	Blocks []uint64 `json:"blocks,omitempty"`
+	// Parts are the ids of the parts that the prompt shares with other prompts, in order, if the caller
+	// names them. OwnPart is the id of the last part, which belongs to the request itself.
+	Parts   []string `json:"-"`
+	OwnPart string   `json:"-"`
 }
 
 // ReserveRequest asks a decode engine to reserve a slot and memory.
