--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -277,3 +277,39 @@
 		c.Check(took <= 2500*time.Millisecond, qt.IsTrue, qt.Commentf("took %v", took))
 	})
 }
+
+// A repeated attempt calls a prefill and a decode engine, and each of the calls counts against the budget.
+func TestRetriesExceedBudgetOfCalls(t *testing.T) {
+	const requests, allowed = 20, 10
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engines := newFakeCluster(1, 2, 6)
+		for _, engine := range engines.engines {
+			engine.streamErr = errBroken
+		}
+		budget := intake.NewSharedRetryBudget(intake.SharedRetryBudgetConfig{
+			Slack:    allowed,
+			WindowMS: 600_000,
+		})
+		budget.SetShare(1)
+		runner := firing.NewRunner(firing.Deps{
+			Engines:  engines,
+			Placer:   quotation.NewPlacer(quotation.Deps{Servers: engines}),
+			Retries:  budget,
+			Instance: "entry-1",
+			Config:   strictConfig(),
+		})
+		defer runner.Close()
+		for n := range requests {
+			runner.Run(c.Context(), strictRequest(fmt.Sprintf("r%d", n), true), &collector{})
+			// Engines that failed are used again after a while.
+			time.Sleep(20 * time.Second)
+		}
+		calls := 0
+		for _, engine := range engines.engines {
+			calls += engine.count("prefill") + engine.count("decode")
+		}
+		c.Assert(calls-2*requests <= allowed, qt.IsTrue, qt.Commentf("%d calls beyond the first ones", calls-2*requests))
+		c.Assert(calls-2*requests > 0, qt.IsTrue)
+	})
+}
