intake, platform, firing: Quarantine prompts that crash servers

Cause: nothing was learnt from a crash. A broken stream was retried on the next engine, the next request with the part was sent on, and what one instance could have known the others didn't. Class: retries and routing that treat the failure of a request as the server's, when the request is the cause.

Now a decode that breaks before its first event, at a server that refuses connections afterwards, is evidence. The parts common to the requests that ended three servers, of two requests or more, are quarantined together, and prompts with all of them are refused as not run, before the queue, before each send and before the decode.

--- a/common/event/event.go
+++ b/common/event/event.go
@@ -57,6 +57,16 @@
 	RetryShare Name = "retry_share"
 )
 
+// Events that concern prompts which crash servers.
+const (
+	// ServerCrashed reports that a server ended when it started a request.
+	ServerCrashed Name = "server_crashed"
+	// Quarantined reports that prompts with some parts are refused.
+	Quarantined Name = "quarantined"
+	// QuarantineEnded reports that a set of parts is no longer refused, or replaced by a smaller one.
+	QuarantineEnded Name = "quarantine_ended"
+)
+
 // Events of a request.
 const (
 	// Placed reports the engines chosen for an attempt of a generation, and why.
--- a/common/memnet/memnet.go
+++ b/common/memnet/memnet.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -87,7 +88,7 @@
 		return nil, dialUnreachable(ctx, address)
 	}
 	if l == nil {
-		return nil, dialError(address, errors.New("connection refused"))
+		return nil, dialError(address, syscall.ECONNREFUSED)
 	}
 	local, remote := net.Pipe()
 	c := &conn{
@@ -111,7 +112,7 @@
 		return c, nil
 	case <-l.closed:
 		_ = c.Close()
-		return nil, dialError(address, errors.New("connection refused"))
+		return nil, dialError(address, syscall.ECONNREFUSED)
 	case <-ctx.Done():
 		_ = c.Close()
 		return nil, dialError(address, ctx.Err())
--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -53,6 +53,9 @@
 	if result != resultDone {
 		return result, reason
 	}
+	if reason := a.g.checkPrompt(); reason != nil {
+		return resultStop, *reason
+	}
 	if a.g.prepared == 0 {
 		a.g.prepared = time.Since(a.g.startedAt)
 	}
--- a/firing/deps.go
+++ b/firing/deps.go
@@ -90,6 +90,20 @@
 	Take(caller string) bool
 }
 
+// PromptGuard keeps prompts that crash engines from being sent to more of them.
+type PromptGuard interface {
+	// Check returns the reason for refusing a prompt with these parts, or nil.
+	Check(parts []string) *receipt.Reason
+	// Started records that an engine has delivered the first tokens of a prompt.
+	Started(prompt kiln.Prompt)
+	// Broke records that the connection to an engine broke before it delivered a token. The engine may
+	// have crashed.
+	Broke(req Request, engine *quotation.Worker)
+}
+
+// startedTokens is the number of tokens after which an engine has survived the start of a prompt.
+const startedTokens = 3
+
 // Deps holds the dependencies of a Runner. Engines, Placer and Instance are
 // required.
 type Deps struct {
@@ -101,6 +115,8 @@
 	Canceller Canceller
 	// Retries may be nil. Only Config.Tries then bounds retries.
 	Retries RetryBudget
+	// Guard may be nil. No prompt is then refused for what it did to engines.
+	Guard PromptGuard
 	// Metrics may be nil.
 	Metrics *metrics.Metrics
 	// Instance is the id of this entry instance, which owns the memory that its
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -85,6 +85,9 @@
 )
 
 func (g *generation) run(ctx context.Context) receipt.Outcome {
+	if reason := g.checkPrompt(); reason != nil {
+		return g.failureOutcome(*reason)
+	}
 	if g.runner.deps.Queue != nil {
 		turn, reason := g.runner.deps.Queue.Enter(ctx, g.req, g.waitLimits())
 		if reason != nil {
@@ -95,6 +98,9 @@
 	}
 	for {
 		run, reason := g.place(ctx)
+		if reason == nil {
+			reason = g.checkPrompt()
+		}
 		if reason != nil {
 			return g.failureOutcome(*reason)
 		}
@@ -105,6 +111,14 @@
 	}
 }
 
+// checkPrompt returns the reason for not sending the prompt to an engine, or nil.
+func (g *generation) checkPrompt() *receipt.Reason {
+	if g.runner.deps.Guard == nil {
+		return nil
+	}
+	return g.runner.deps.Guard.Check(g.req.Prompt.Parts)
+}
+
 // enforcesTarget reports whether the request is refused when it can't meet its
 // latency targets.
 func (g *generation) enforcesTarget() bool {
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -58,6 +58,7 @@
 // is lost with the engine's memory, so a refusal counts as a failure, too.
 func (a *attempt) handleDecodeError(ctx context.Context, address string, err error) (attemptResult, receipt.Reason) {
 	a.g.recordRun(err)
+	a.reportBreak(ctx, err)
 	result, reason := a.handleError(ctx, receipt.StepDecode, address, err)
 	if result == resultPlaceAgain {
 		result = resultRetry
@@ -68,6 +69,16 @@
 	return result, reason
 }
 
+// reportBreak reports a decode whose connection broke before its first token.
+func (a *attempt) reportBreak(ctx context.Context, err error) {
+	var answer *kiln.ResponseError
+	guard := a.g.runner.deps.Guard
+	if guard == nil || ctx.Err() != nil || a.g.next > a.firstIndex || isRefusal(err) || isNotSent(err) || errors.As(err, &answer) {
+		return
+	}
+	guard.Broke(a.g.req, a.plan.Decode)
+}
+
 // recordRun records that an engine may have run a strict request, unless the error
 // rules it out.
 func (g *generation) recordRun(err error) {
@@ -186,6 +197,9 @@
 	a.computed = 0
 	a.g.recordToken(time.Now())
 	a.g.next++
+	if a.g.next-a.firstIndex == startedTokens && a.g.runner.deps.Guard != nil {
+		a.g.runner.deps.Guard.Started(a.g.req.Prompt)
+	}
 	a.g.deliveredText.WriteString(frame.Text)
 	return nil
 }
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -62,6 +62,7 @@
 	CodeLimited        Code = "limited"
 	CodeOverloaded     Code = "overloaded"
 	CodeNoServer       Code = "no_server"
+	CodeQuarantined    Code = "quarantined"
 	CodeShuttingDown   Code = "shutting_down"
 	CodeNotReady       Code = "not_ready"
 	CodeLogUnavailable Code = "log_unavailable"
