firing, intake: Count each repeated call against the retry budget

Cause: a retry took one from the budget and sent two calls, a prefill and a decode. Class: a limit that counts in another unit than what it limits.

Take now takes the number of calls: two for a strict request once an engine has accepted a prefill of it, else one (the first accepted prefill is free). Calls of plain services take one, as before.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -85,9 +85,9 @@
 	// RecordFirstAttempt records the first attempt of a request and adds to the budget
 	// of its caller.
 	RecordFirstAttempt(caller string)
-	// Take reports whether the budget of the caller allows a retry, and takes it from
-	// the budget if so.
-	Take(caller string) bool
+	// Take reports whether the budget of the caller allows a number of repeated calls,
+	// and takes them from the budget if so.
+	Take(caller string, calls int) bool
 }
 
 // PromptGuard keeps prompts that crash engines from being sent to more of them.
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -57,8 +57,10 @@
 	lastTokenAt   time.Time
 	// lastPrefillAt is when a prefill was last sent.
 	lastPrefillAt time.Time
-	prefilled     int
-	wasted        int
+	// hasPrefilled is set once an engine has accepted a prefill.
+	hasPrefilled bool
+	prefilled    int
+	wasted       int
 }
 
 // decodeStepTime is the duration of one decode step with a full batch.
@@ -200,11 +202,21 @@
 	return nil
 }
 
+// retryCalls returns the number of calls of one more attempt that count as repeated. The
+// engines of strict requests count a decode, and each prefill but the first accepted one.
+func (g *generation) retryCalls() int {
+	const decode, prefillAndDecode = 1, 2
+	if g.req.Strict && g.hasPrefilled {
+		return prefillAndDecode
+	}
+	return decode
+}
+
 func (g *generation) mayRetry() bool {
 	if g.tries >= g.runner.cfg.Tries {
 		return false
 	}
-	if g.runner.deps.Retries == nil || g.req.Class == ClassDraft || g.runner.deps.Retries.Take(g.req.Caller) {
+	if g.runner.deps.Retries == nil || g.req.Class == ClassDraft || g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls()) {
 		return true
 	}
 	log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, g.req.ID).Str("service", g.req.Caller).
--- a/firing/steps.go
+++ b/firing/steps.go
@@ -69,6 +69,7 @@
 	})
 	if err == nil {
 		a.computed += kv.Computed
+		a.g.hasPrefilled = true
 		a.g.prefilled += kv.Computed
 		a.exportExpiresAt = time.Now().Add(time.Duration(kv.KeptMS)*time.Millisecond - exportMargin)
 		a.allocation.Prefilled(a.g.req.Prompt.Blocks, time.Now())
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -218,7 +218,7 @@
 type exhaustedBudget struct{}
 
 func (exhaustedBudget) RecordFirstAttempt(string) {}
-func (exhaustedBudget) Take(string) bool          { return false }
+func (exhaustedBudget) Take(string, int) bool     { return false }
 
 // Engines that just failed are still listed, as when a rack loses power under load, and
 // the many failures have exhausted the retry budget. A reservation without a response has
--- a/intake/limiter_test.go
+++ b/intake/limiter_test.go
@@ -88,12 +88,12 @@
 	taken := 0
 	for range 100 {
 		budget.RecordFirstAttempt("studio-a")
-		for budget.Take("studio-a") {
+		for budget.Take("studio-a", 1) {
 			taken++
 		}
 	}
 	c.Assert(taken >= 12 && taken <= 13, qt.IsTrue, qt.Commentf("%d", taken))
-	c.Assert(budget.Take("studio-b"), qt.IsTrue)
+	c.Assert(budget.Take("studio-b", 1), qt.IsTrue)
 }
 
 func BenchmarkLimiter(b *testing.B) {
--- a/intake/retries.go
+++ b/intake/retries.go
@@ -43,16 +43,17 @@
 	}
 }
 
-// Take reports whether the budget of the caller allows a retry, and takes it from the
-// budget if so.
-func (r *RetryBudget) Take(caller string) bool {
+// Take reports whether the budget of the caller allows a number of repeated calls, and
+// takes them from the budget if so.
+func (r *RetryBudget) Take(caller string, calls int) bool {
 	b := r.budget(caller)
+	cost := int64(calls) * retryCost
 	for {
 		old := b.Load()
-		if old < retryCost {
+		if old < cost {
 			return false
 		}
-		if b.CompareAndSwap(old, old-retryCost) {
+		if b.CompareAndSwap(old, old-cost) {
 			return true
 		}
 	}
--- a/intake/sharedretries.go
+++ b/intake/sharedretries.go
@@ -69,9 +69,9 @@
 	w.slots[w.current].requests++
 }
 
-// Take reports whether the budget of the service allows a retry, and takes it from the
-// budget if so.
-func (s *SharedRetryBudget) Take(service string) bool {
+// Take reports whether the budget of the service allows a number of repeated calls, and
+// takes them from the budget if so.
+func (s *SharedRetryBudget) Take(service string, calls int) bool {
 	w := s.window(service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -86,10 +86,10 @@
 		}
 	}
 	allowed := (1 - s.cfg.Reserve) * (s.cfg.Ratio*requests + s.cfg.Slack*s.Share())
-	if retries+1 > allowed {
+	if retries+float64(calls) > allowed {
 		return false
 	}
-	w.slots[w.current].retries++
+	w.slots[w.current].retries += float64(calls)
 	return true
 }
 
--- a/intake/sharedretries_test.go
+++ b/intake/sharedretries_test.go
@@ -22,23 +22,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := NewSharedRetryBudget(newSharedConfig())
-		c.Assert(s.Take("desk"), qt.IsFalse, qt.Commentf("no requests and no share yet"))
+		c.Assert(s.Take("desk", 1), qt.IsFalse, qt.Commentf("no requests and no share yet"))
 		s.SetShare(0.25)
 		taken := 0
-		for s.Take("desk") {
+		for s.Take("desk", 1) {
 			taken++
 		}
 		c.Assert(taken, qt.Equals, 10, qt.Commentf("a quarter of the slack, less the reserve"))
 		for range 100 {
 			s.RecordFirstAttempt("desk")
 		}
-		for s.Take("desk") {
+		for s.Take("desk", 1) {
 			taken++
 		}
 		c.Assert(taken, qt.Equals, 26)
-		c.Assert(s.Take("models"), qt.IsTrue, qt.Commentf("each service has its own budget"))
+		c.Assert(s.Take("models", 1), qt.IsTrue, qt.Commentf("each service has its own budget"))
 		time.Sleep(11 * time.Second)
-		c.Assert(s.Take("desk"), qt.IsTrue)
+		c.Assert(s.Take("desk", 1), qt.IsTrue)
 	})
 }
 
@@ -64,7 +64,7 @@
 				time.Sleep(time.Duration(rapid.IntRange(0, 300).Draw(rt, "pause")) * time.Millisecond)
 				i := rapid.IntRange(0, instances-1).Draw(rt, "instance")
 				if rapid.Bool().Draw(rt, "fails") {
-					if all[i].Take("desk") {
+					if all[i].Take("desk", 1) {
 						events = append(events, event{
 							at:    time.Since(began),
 							retry: true,
--- a/workshop/retryclient.go
+++ b/workshop/retryclient.go
@@ -125,9 +125,9 @@
 	// RecordFirstAttempt records the first attempt of a request and adds to the budget
 	// of its service.
 	RecordFirstAttempt(service string)
-	// Take reports whether the budget of the service allows a retry, and takes it from
-	// the budget if so.
-	Take(service string) bool
+	// Take reports whether the budget of the service allows a number of repeated calls,
+	// and takes them from the budget if so.
+	Take(service string, calls int) bool
 }
 
 // RetryClient sends calls to the servers of a service. It retries and hedges them
@@ -230,7 +230,7 @@
 func (c *RetryClient) takeRetry(state *retryState, callID, service, kind string) bool {
 	ok := false
 	if c.deps.Retries != nil {
-		ok = c.deps.Retries.Take(service)
+		ok = c.deps.Retries.Take(service, 1)
 	} else {
 		ok = state.take(time.Now(), c.deps.Config.Budget)
 	}
