ledger: Halve the page of a read that takes too long

After a read that reached its limit the next one asks for half the records, down to one, and for half as many more after each that didn't. A single record that takes longer than the limit is still not read.

TestFollowerRestartsPageOnSlowLink (300 records of 20 ms each) failed before: no record was read within 30 s.

--- a/ledger/follower.go
+++ b/ledger/follower.go
@@ -116,6 +116,8 @@
 	deps    FollowerDeps
 	wakeup  chan struct{}
 	started bool
+	// limit is the number of records per read. It is halved when a read takes too long.
+	limit int
 	// holeReads is the number of consecutive reads with a missing offset.
 	holeReads int
 
@@ -131,6 +133,7 @@
 		deps:    deps,
 		wakeup:  make(chan struct{}, 1),
 		changed: make(chan struct{}),
+		limit:   deps.Config.ReadLimit,
 	}
 }
 
@@ -278,7 +281,8 @@
 	defer cancel()
 	next := f.State().Next
 	sent := time.Now()
-	page, err := f.deps.Log.Read(ctx, f.deps.Stream, next, f.deps.Config.ReadLimit)
+	page, err := f.deps.Log.Read(ctx, f.deps.Stream, next, f.limit)
+	f.adaptLimit(ctx)
 	if err != nil {
 		return false, fmt.Errorf("read %s from offset %d: %w", f.deps.Stream, next, err)
 	}
@@ -296,6 +300,15 @@
 	return page.End > f.State().Next, nil
 }
 
+// adaptLimit halves the limit of a read whose context has expired, and raises it again otherwise.
+func (f *Follower) adaptLimit(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		f.limit = max(1, f.limit/2)
+		return
+	}
+	f.limit = min(f.deps.Config.ReadLimit, f.limit+max(1, f.limit/2))
+}
+
 func (f *Follower) needsRestart(page Page, next Offset) (RestartReason, bool) {
 	switch {
 	case !f.started:
--- a/ledger/follower_test.go
+++ b/ledger/follower_test.go
@@ -20,6 +20,8 @@
 	// loseAnswer makes appends take effect but return an error.
 	loseAnswer bool
 	appends    int
+	// timePerRecord delays reads, as a slow link does.
+	timePerRecord time.Duration
 }
 
 func (l *memoryLog) Append(_ context.Context, _ Stream, payload []byte) (Offset, error) {
@@ -41,7 +43,19 @@
 	return offset, nil
 }
 
-func (l *memoryLog) Read(_ context.Context, _ Stream, from Offset, limit int) (Page, error) {
+func (l *memoryLog) Read(ctx context.Context, stream Stream, from Offset, limit int) (Page, error) {
+	page, err := l.page(stream, from, limit)
+	timer := time.NewTimer(time.Duration(len(page.Records)) * l.timePerRecord)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return page, err
+	case <-ctx.Done():
+		return Page{}, ctx.Err()
+	}
+}
+
+func (l *memoryLog) page(_ Stream, from Offset, limit int) (Page, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
@@ -189,3 +203,35 @@
 		c.Assert(f.State().Err, qt.IsNil)
 	})
 }
+
+// A page that takes longer than the timeout of a read must not be read again and again.
+func TestFollowerRestartsPageOnSlowLink(t *testing.T) {
+	const records, limit = 300, 256
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		l := &memoryLog{timePerRecord: 20 * time.Millisecond}
+		for range records {
+			_, err := l.Append(t.Context(), "s", []byte("record"))
+			c.Assert(err, qt.IsNil)
+		}
+		cfg := DefaultFollowerConfig()
+		cfg.ReadLimit = limit
+		handler := &recorder{}
+		f := NewFollower(FollowerDeps{
+			Log:     l,
+			Stream:  "s",
+			Handler: handler,
+			Config:  cfg,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_ = f.Run(ctx)
+		}()
+		time.Sleep(30 * time.Second)
+		c.Check(f.State().Next, qt.Equals, Offset(records))
+		cancel()
+		<-done
+	})
+}
