crew, platform: Leave servers alone that are leaving or ask for a pause

Cause: no code read Server-Leaving or the Retry-After of a backend server, so that a server that leaves got new work until its entry changed, and one that turned requests away was tried again at once, by each kind of call.

A server's notice now holds for its incarnation, whether or not it is registered: crew.Notice decides by the kind of work what may still be sent. Placement and the ranking of services skip paused servers, retries skip them without using the budget, each call is checked again when it is sent and when a new connection is open, and callers are refused at once if all servers pause.

Ruled out: probes in a pause. Two calls are tolerated; one is left to calls on their way, one to a decode whose KV cache is ready.

--- a/common/event/event.go
+++ b/common/event/event.go
@@ -42,6 +42,8 @@
 	Server Name = "server"
 	// ServerGone reports that a server was removed.
 	ServerGone Name = "server_gone"
+	// ServerPaused reports that a server wants no requests for a time.
+	ServerPaused Name = "server_paused"
 	// ServerLapsed reports that the registration of a server expired while the store was
 	// unavailable.
 	ServerLapsed Name = "server_lapsed"
--- a/crew/member.go
+++ b/crew/member.go
@@ -74,6 +74,8 @@
 	// ColdUntil is the time until which a recently started server is slow, or zero if
 	// unknown.
 	ColdUntil time.Time
+	// PausedUntil is the time until which the server has asked for no calls, or zero.
+	PausedUntil time.Time
 
 	leavingSince time.Time
 }
--- a/crew/roster.go
+++ b/crew/roster.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -18,10 +19,14 @@
 // Registry entries that expire while the registry is unavailable do not prove that
 // their servers are down. ExpireAt keeps such servers for a while. Readers load an
 // immutable list.
+//
+// What a server says of itself holds for its incarnation, whether or not it is
+// registered: an entry that is removed and added again does not undo it.
 type Roster struct {
 	mu      sync.Mutex
 	entries map[string]entry
 	list    atomic.Pointer[[]Server]
+	notices atomic.Pointer[notices]
 }
 
 // entry is one registered server.
@@ -36,11 +41,12 @@
 func NewRoster() *Roster {
 	r := &Roster{entries: map[string]entry{}}
 	r.list.Store(&[]Server{})
+	r.notices.Store(&notices{})
 	return r
 }
 
-// Servers returns the servers that may get new work, sorted by name. The slice is
-// immutable; a change creates a new one.
+// Servers returns the servers that may get new work, now or after Server.PausedUntil,
+// sorted by name. The slice is immutable; a change creates a new one.
 func (r *Roster) Servers() []Server { return *r.list.Load() }
 
 // FindByAddress returns the server of a service with the newest incarnation at an
@@ -73,9 +79,12 @@
 	defer r.mu.Unlock()
 	old, known := r.entries[server.Name]
 	same := known && old.server.Incarnation == server.Incarnation && old.server.Address == server.Address
-	if same && old.server.State == StateLeaving {
+	if same && old.server.State == StateLeaving || r.noticeOf(server).IsLeaving() {
 		server.State = StateLeaving
 	}
+	if server.State == StateLeaving {
+		r.noteLeavingLocked(incarnationOf(server))
+	}
 	if same {
 		server.Load = old.server.Load
 	}
@@ -147,12 +156,22 @@
 
 // MarkLeaving records that an incarnation of a server is leaving, because the server
 // itself said so or because another server answers at its address. It reports whether
-// the state has changed.
+// that is news of the registered incarnation, or of a server that is not registered.
 func (r *Roster) MarkLeaving(name string, incarnation uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	id := serverIncarnation{
+		name:        name,
+		incarnation: incarnation,
+	}
+	if !r.noteLeavingLocked(id) {
+		return false
+	}
 	e, known := r.entries[name]
-	if !known || e.server.Incarnation != incarnation || e.server.State == StateLeaving {
+	switch {
+	case !known:
+		return true
+	case e.server.Incarnation != incarnation || e.server.State == StateLeaving:
 		return false
 	}
 	e.server.State = StateLeaving
@@ -161,6 +180,74 @@
 	return true
 }
 
+// noteLeavingLocked records that an incarnation of a server is leaving, and reports
+// whether that is new.
+func (r *Roster) noteLeavingLocked(id serverIncarnation) bool {
+	notice := r.notices.Load().of(id)
+	if notice.IsLeaving() {
+		return false
+	}
+	r.storeNoticeLocked(id, notice.WithLeaving(time.Now()))
+	return true
+}
+
+// Pause records that a server has asked for no calls for a time from now on. It returns
+// the end of the pause, at which this instance sends it work again: different instances
+// wait a little longer by different amounts, so that they don't all return at the same
+// moment. It reports whether the server was not paused before.
+func (r *Roster) Pause(server Server, d time.Duration) (until time.Time, began bool) {
+	now := time.Now()
+	until = now.Add(d + rand.N(1+min(d/pauseSpreadDivisor, maxPauseSpread)))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := incarnationOf(server)
+	old := r.notices.Load().of(id)
+	notice := old.WithPause(now, until)
+	r.storeNoticeLocked(id, notice)
+	r.publishLocked()
+	return notice.PausedUntil, !now.Before(old.PausedUntil)
+}
+
+// A pause is prolonged by a random time of up to 1/pauseSpreadDivisor of its length, at
+// most maxPauseSpread.
+const (
+	pauseSpreadDivisor = 4
+	maxPauseSpread     = 2 * time.Second
+)
+
+// Admits reports whether a call may be sent to a server now. Unlike Admit, it does not
+// count the call.
+func (r *Roster) Admits(server Server, work Work) bool {
+	_, ok := r.noticeOf(server).Admit(work, time.Now()).(Admitted)
+	return ok
+}
+
+// Admit decides whether a call may be sent to a server. It must be called immediately
+// before the call.
+func (r *Roster) Admit(server Server, work Work) Admission {
+	now := time.Now()
+	admission := r.noticeOf(server).Admit(work, now)
+	if admitted, ok := admission.(Admitted); !ok || !admitted.Counted {
+		return admission
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	notice := r.noticeOf(server)
+	admission = notice.Admit(work, now)
+	if admitted, ok := admission.(Admitted); ok && admitted.Counted {
+		r.storeNoticeLocked(incarnationOf(server), notice.WithPausedCall())
+	}
+	return admission
+}
+
+// noticeOf returns what the incarnation of a server has said.
+func (r *Roster) noticeOf(server Server) Notice { return r.notices.Load().of(incarnationOf(server)) }
+
+func (r *Roster) storeNoticeLocked(id serverIncarnation, notice Notice) {
+	next := r.notices.Load().with(id, notice, time.Now())
+	r.notices.Store(&next)
+}
+
 // SetLoad stores a server's own load report.
 func (r *Roster) SetLoad(name string, load kiln.LoadReport) {
 	r.mu.Lock()
@@ -179,6 +266,7 @@
 	list := make([]Server, 0, len(r.entries))
 	for _, e := range r.entries {
 		if e.server.State == StateLive {
+			e.server.PausedUntil = r.noticeOf(e.server).PausedUntil
 			list = append(list, e.server)
 		}
 	}
--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/phuslu/log"
@@ -168,7 +169,7 @@
 // handleError maps the error of a call to an engine to a result and a reason. It
 // reports full and failed engines to the placer, and excludes the engine from further
 // attempts unless it was full or the request ends: it is invalid or fenced, or its context
-// is done.
+// is done. A call that the engine didn't want now is not a failure of the engine.
 func (a *attempt) handleError(ctx context.Context, step receipt.Step, address string, err error) (attemptResult, receipt.Reason) {
 	reason := receipt.Reason{
 		Code: receipt.CodeServerFailed,
@@ -190,6 +191,9 @@
 		reason.Code = receipt.CodeOverloaded
 		a.g.runner.deps.Placer.MarkFull(address, now)
 		return resultPlaceAgain, reason
+	case errors.Is(err, kiln.ErrNotAdmitted):
+		a.g.exclude(address)
+		return resultPlaceAgain, reason
 	case isRefusal(err):
 		a.g.exclude(address)
 	default:
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -187,7 +188,7 @@
 		}
 		g.runner.deps.Metrics.Count("retries", string(reason.Step))
 	case resultPlaceAgain:
-		if g.req.Strict && reason.Step == receipt.StepPrefill && !g.mayRetry() {
+		if g.req.Strict && reason.Step == receipt.StepPrefill && !errors.Is(reason.Err, kiln.ErrNotAdmitted) && !g.mayRetry() {
 			return g.failureOutcome(reason)
 		}
 		g.tries--
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -107,6 +107,13 @@
 	return base.Add(milliseconds(g.runner.cfg.WaitMS))
 }
 
+// maxPauseWait is the longest remaining pause of all engines that a request waits for.
+// Callers of longer ones are told when it ends. A stream that has begun waits as long as
+// for a free engine.
+const maxPauseWait = 50 * time.Millisecond
+
+var errEnginesPaused = errors.New("all engines want no requests for a time")
+
 // place chooses the engines of the next attempt, and waits until some have free capacity.
 // A further attempt is placed without waiting for another turn if there is free capacity.
 func (g *generation) place(ctx context.Context) (quotation.Run, *receipt.Reason) {
@@ -133,6 +140,19 @@
 			if reason != nil {
 				return quotation.Run{}, reason
 			}
+		case quotation.Paused:
+			wait := time.Until(d.Until)
+			if wait > maxPauseWait && (g.next == 0 || d.Until.After(deadline)) {
+				return quotation.Run{}, &receipt.Reason{
+					Code:       receipt.CodeOverloaded,
+					Step:       receipt.StepPlace,
+					RetryAfter: wait,
+					Err:        errEnginesPaused,
+				}
+			}
+			if reason := g.sleep(ctx, wait); reason != nil {
+				return quotation.Run{}, reason
+			}
 		case quotation.Refuse:
 			if len(g.excluded) > 0 && time.Now().Before(deadline) {
 				g.excluded = nil
--- a/kiln/error.go
+++ b/kiln/error.go
@@ -1,6 +1,7 @@
 package kiln
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 )
@@ -45,6 +46,10 @@
 	return fmt.Sprintf("%s: peer %s: %s: %s", e.Call, e.Peer, e.Code, e.Message)
 }
 
+// ErrNotAdmitted is the cause of a NotSentError if the engine is alive but has said that it
+// wants no calls now.
+var ErrNotAdmitted = errors.New("engine wants no calls now")
+
 // NotSentError is returned when a call could not be sent, so that it had no effect.
 type NotSentError struct {
 	// Peer is the engine's address.
--- a/quotation/decision.go
+++ b/quotation/decision.go
@@ -13,6 +13,7 @@
 //		allocation := placer.Allocate(decision, now)
 //		defer func() { allocation.Close(time.Now()) }()
 //	case quotation.Wait:
+//	case quotation.Paused:
 //	case quotation.Refuse:
 //	}
 package quotation
@@ -63,7 +64,7 @@
 	KVRegion string
 }
 
-// Decision is the result of placement, a sealed interface: Run, Wait or Refuse.
+// Decision is the result of placement, a sealed interface: Run, Wait, Paused or Refuse.
 type Decision interface{ isDecision() }
 
 // Run assigns the engines of one attempt.
@@ -101,15 +102,21 @@
 	Stale bool
 }
 
+// Paused means that all engines which could run the request have asked for no requests.
+// Until is when the first pair of them takes requests again.
+type Paused struct{ Until time.Time }
+
 // Refuse means that no engine can run the request.
 type Refuse struct{ Code receipt.Code }
 
 func (Run) isDecision()    {}
 func (Wait) isDecision()   {}
+func (Paused) isDecision() {}
 func (Refuse) isDecision() {}
 
 var (
 	_ Decision = Run{}
 	_ Decision = Wait{}
+	_ Decision = Paused{}
 	_ Decision = Refuse{}
 )
--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -30,6 +30,7 @@
 	memoryUsedElsewhere   int64
 	piecesFree            int64
 	reportedAt            time.Time
+	pausedUntil           time.Time
 	load                  *engineLoad
 }
 
@@ -114,6 +115,9 @@
 	return u
 }
 
+// paused reports whether the engine has asked for no requests at now.
+func (w *Worker) paused(now time.Time) bool { return now.Before(w.pausedUntil) }
+
 func (w *Worker) failed(now int64) bool { return w.load.failedUntil.Load() > now }
 
 // full reports whether the engine has at most spare slots free, or recently refused
@@ -233,6 +237,7 @@
 		PrefillRate: cfg.TokensPerSecond,
 		piecesFree:  int64(report.Pieces - report.PiecesUsed),
 		reportedAt:  report.At,
+		pausedUntil: server.PausedUntil,
 		load:        local,
 	}
 	if report.Role != "" {
--- a/quotation/place.go
+++ b/quotation/place.go
@@ -91,18 +91,43 @@
 	return v.snapshot.Region(req.DataCentre)
 }
 
+// waitOrRefuse decides on a request for which no engine has free capacity. If it could run
+// on no engine that takes requests now, it doesn't have to wait.
 func (v view) waitOrRefuse(m *modelWorkers, req *Request) Decision {
-	allows := func(w *Worker) bool { return allowed(w, req) }
-	if slices.ContainsFunc(m.decode[""], allows) && slices.ContainsFunc(m.prefill[""], allows) {
-		return Wait{For: v.cfg.retry()}
+	decodeFrom, hasDecode := earliestAdmission(m.decode[""], req)
+	prefillFrom, hasPrefill := earliestAdmission(m.prefill[""], req)
+	if !hasDecode || !hasPrefill {
+		return Refuse{Code: receipt.CodeNoServer}
+	}
+	from := decodeFrom
+	if prefillFrom.After(from) {
+		from = prefillFrom
+	}
+	if from.After(v.now) {
+		return Paused{Until: from}
+	}
+	return Wait{For: v.cfg.retry()}
+}
+
+// earliestAdmission returns when the first of the engines that may run a request takes
+// requests. It returns false if there are none.
+func earliestAdmission(workers []*Worker, req *Request) (from time.Time, ok bool) {
+	for _, w := range workers {
+		if !allowed(w, req) {
+			continue
+		}
+		if !ok || w.pausedUntil.Before(from) {
+			from = w.pausedUntil
+		}
+		ok = true
 	}
-	return Refuse{Code: receipt.CodeNoServer}
+	return from, ok
 }
 
 // hasEngines reports whether a region has engines of both roles that respond.
 func (v view) hasEngines(m *modelWorkers, req *Request, region string) bool {
 	now := v.now.UnixNano()
-	available := func(w *Worker) bool { return allowed(w, req) && !w.failed(now) }
+	available := func(w *Worker) bool { return allowed(w, req) && !w.failed(now) && !w.paused(v.now) }
 	return slices.ContainsFunc(m.decode[region], available) && slices.ContainsFunc(m.prefill[region], available)
 }
 
@@ -162,7 +187,7 @@
 
 func (v view) hasCapacity(w *Worker, req *Request, now int64) bool {
 	free := v.cfg.Policy.PrefillFirst || !w.full(v.now, v.spareSlots(w, req)) && w.hasMemoryFor(req.MemoryTokens)
-	return free && !w.failed(now) && allowed(w, req)
+	return free && !w.failed(now) && !w.paused(v.now) && allowed(w, req)
 }
 
 // spareSlots returns the number of slots that a request must leave free on an engine.
@@ -180,7 +205,7 @@
 	now := v.now.UnixNano()
 	for i := range workers {
 		w := workers[(v.decisions+uint64(i))%uint64(len(workers))]
-		if !w.failed(now) && allowed(w, req) {
+		if !w.failed(now) && !w.paused(v.now) && allowed(w, req) {
 			return w
 		}
 	}
@@ -224,7 +249,7 @@
 	seen := 0
 	for i := range workers {
 		w := workers[(seed+uint64(i))%uint64(len(workers))]
-		if w.failed(now) || !allowed(w, req) {
+		if w.failed(now) || w.paused(v.now) || !allowed(w, req) {
 			continue
 		}
 		run := v.estimatePrefill(w, req, 0, decode)
@@ -251,7 +276,7 @@
 	now := v.now.UnixNano()
 	for _, address := range holders {
 		w := v.snapshot.workers[address]
-		if w == nil || w.Role == kiln.RoleDecode || w.Region != workers[0].Region || w.failed(now) || !allowed(w, req) {
+		if w == nil || w.Role == kiln.RoleDecode || w.Region != workers[0].Region || w.failed(now) || w.paused(v.now) || !allowed(w, req) {
 			continue
 		}
 		run := v.estimatePrefill(w, req, min(length*blockTokens, req.PromptTokens), decode)
--- a/quotation/place_test.go
+++ b/quotation/place_test.go
@@ -191,3 +191,47 @@
 		})
 	}
 }
+
+// Engines that have asked for no requests aren't chosen. The others take their load.
+func TestPlaceSkipsPausedEngines(t *testing.T) {
+	c := qt.New(t)
+	servers := engines(30)
+	free := 0
+	for i := range servers {
+		if i%5 != 1 && i%5 != 0 {
+			servers[i].PausedUntil = now.Add(time.Second)
+		} else {
+			free++
+		}
+	}
+	placer := quotation.NewPlacer(quotation.Deps{Servers: servers})
+	for i := range 50 {
+		req := newRequest()
+		req.ID = fmt.Sprint("r", i)
+		run, ok := placer.Place(req, now).(quotation.Run)
+		c.Assert(ok, qt.IsTrue)
+		for _, w := range []*quotation.Worker{run.Decode, run.Prefill} {
+			c.Assert(w.Name, qt.Matches, `w\d*[0156]`)
+		}
+	}
+	c.Assert(free, qt.Equals, 12)
+}
+
+// If all engines of a role have asked for no requests, a request isn't queued in vain: the decision
+// says when the first engines of both roles take requests.
+func TestPlaceAllEnginesPaused(t *testing.T) {
+	c := qt.New(t)
+	servers := engines(30)
+	for i := range servers {
+		if servers[i].Role == kiln.RoleDecode {
+			servers[i].PausedUntil = now.Add(time.Duration(2+i) * time.Second)
+		}
+	}
+	placer := quotation.NewPlacer(quotation.Deps{Servers: servers})
+	c.Assert(placer.Place(newRequest(), now), qt.DeepEquals, quotation.Decision(quotation.Paused{Until: now.Add(3 * time.Second)}))
+	req := newRequest()
+	req.Excluded = []string{servers[1].Address}
+	c.Assert(placer.Place(req, now), qt.DeepEquals, quotation.Decision(quotation.Paused{Until: now.Add(4 * time.Second)}))
+	_, ok := placer.Place(newRequest(), now.Add(3*time.Second)).(quotation.Paused)
+	c.Assert(ok, qt.IsFalse)
+}
--- a/quotation/services.go
+++ b/quotation/services.go
@@ -123,6 +123,30 @@
 	return ranked
 }
 
+// Admitting returns the servers that take calls at now: all but those that have asked for
+// none until later. The others take their load.
+func Admitting(servers []crew.Server, now time.Time) []crew.Server {
+	admitting := make([]crew.Server, 0, len(servers))
+	for _, server := range servers {
+		if !now.Before(server.PausedUntil) {
+			admitting = append(admitting, server)
+		}
+	}
+	return admitting
+}
+
+// FirstAdmission returns when the first of the servers takes calls, or the zero time if
+// there are none.
+func FirstAdmission(servers []crew.Server) time.Time {
+	var first time.Time
+	for n, server := range servers {
+		if n == 0 || server.PausedUntil.Before(first) {
+			first = server.PausedUntil
+		}
+	}
+	return first
+}
+
 func roundTripTime(server crew.Server, dataCentre, region string) time.Duration {
 	switch {
 	case server.DataCentre == dataCentre:
--- a/quotation/services_test.go
+++ b/quotation/services_test.go
@@ -75,3 +75,24 @@
 		c.Assert(countFirstRanks(r)["near"] > 100, qt.IsTrue, qt.Commentf("the server has recovered"))
 	}
 }
+
+func TestAdmittingServers(t *testing.T) {
+	c := qt.New(t)
+	at := time.Now()
+	servers := []crew.Server{
+		{
+			Name:        "a",
+			PausedUntil: at.Add(3 * time.Second),
+		},
+		{
+			Name:        "b",
+			PausedUntil: at.Add(2 * time.Second),
+		},
+	}
+	c.Assert(Admitting(servers, at), qt.HasLen, 0)
+	c.Assert(FirstAdmission(servers), qt.Equals, at.Add(2*time.Second))
+	admitting := Admitting(servers, at.Add(2*time.Second))
+	c.Assert(admitting, qt.HasLen, 1)
+	c.Assert(admitting[0].Name, qt.Equals, "b")
+	c.Assert(FirstAdmission(nil).IsZero(), qt.IsTrue)
+}
--- a/workshop/hedge.go
+++ b/workshop/hedge.go
@@ -13,6 +13,10 @@
 	call    Call
 	state   *retryState
 	results chan tryResult
+	// untried are the servers that the call may still be sent to, the best one first. last
+	// is the name of the server that it was sent to last.
+	untried []Server
+	last    string
 	// tries is the number of tries sent, inFlight the number of those still running.
 	tries    int
 	inFlight int
@@ -22,16 +26,16 @@
 
 // run sends the first try, hedges and retries. It returns the first answer that isn't a
 // failure, or else the last failure.
-func (h *hedgedCall) run(ctx context.Context, sent receipt.Sent) receipt.Outcome {
+func (h *hedgedCall) run(ctx context.Context, sent receipt.Sent, first Server) receipt.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	h.startTry(ctx)
+	h.startTry(ctx, first)
 	hedge := time.NewTimer(h.client.hedgeDelay(h.state))
 	defer hedge.Stop()
 	for {
 		select {
 		case <-hedge.C:
-			h.client.health.recordFailure(h.call.Servers[h.tries-1].Name)
+			h.client.health.recordFailure(h.last)
 			h.sendAnother(ctx, "hedge")
 		case last := <-h.results:
 			h.inFlight--
@@ -52,22 +56,39 @@
 // sendAnother sends another try if servers, tries and the retry budget allow it. It
 // reports whether it did. kind is "retry" or "hedge".
 func (h *hedgedCall) sendAnother(ctx context.Context, kind string) bool {
-	if h.tries >= h.client.maxTries(h.call) || h.tries >= len(h.call.Servers) {
+	if h.tries >= h.client.maxTries(h.call) {
+		return false
+	}
+	server, ok := h.nextServer()
+	if !ok {
 		return false
 	}
 	if !h.client.takeRetry(h.state, h.call.Request.Attempt, h.call.Service, kind) {
 		return false
 	}
-	h.startTry(ctx)
+	h.startTry(ctx, server)
 	return true
 }
 
-func (h *hedgedCall) startTry(ctx context.Context) {
+// nextServer removes and returns the best untried server that takes calls now.
+func (h *hedgedCall) nextServer() (Server, bool) {
+	for len(h.untried) > 0 {
+		server := h.untried[0]
+		h.untried = h.untried[1:]
+		if server.admits() {
+			return server, true
+		}
+	}
+	return Server{}, false
+}
+
+func (h *hedgedCall) startTry(ctx context.Context, server Server) {
 	n := h.tries
 	h.tries++
 	h.inFlight++
+	h.last = server.Name
 	go func() {
-		h.results <- h.client.sendTry(ctx, h.state, h.call, h.call.Servers[n], n)
+		h.results <- h.client.sendTry(ctx, h.state, h.call, server, n)
 	}()
 }
 
--- a/workshop/retryclient.go
+++ b/workshop/retryclient.go
@@ -79,8 +79,13 @@
 	// for health tracking.
 	Name    string
 	Service Service
+	// Admits reports whether the server takes calls now. A server that does not is skipped
+	// without using the retry budget. A nil Admits means that it does.
+	Admits func() bool
 }
 
+func (s Server) admits() bool { return s.Admits == nil || s.Admits() }
+
 // Call is one call to a service by a caller.
 type Call struct {
 	Caller  string
@@ -163,7 +168,14 @@
 		Step: receipt.StepCall,
 		Err:  errNoServer,
 	}
-	for n, server := range call.Servers[:min(len(call.Servers), c.deps.Config.MaxTries)] {
+	n := 0
+	for _, server := range call.Servers {
+		if n == c.deps.Config.MaxTries {
+			break
+		}
+		if !server.admits() {
+			continue
+		}
 		if n > 0 && !c.takeRetry(state, call.Request.Attempt, call.Service, "retry") {
 			reason.Err = errors.Join(errBudgetExhausted, reason.Err)
 			break
@@ -176,6 +188,7 @@
 		if !result.isNotStarted() {
 			return sent.Unknown(reason)
 		}
+		n++
 	}
 	return sent.Declined(reason)
 }
@@ -196,10 +209,19 @@
 	hedged := &hedgedCall{
 		client:  c,
 		call:    call,
+		untried: call.Servers,
 		state:   c.startCall(call),
 		results: make(chan tryResult, c.maxTries(call)),
 	}
-	return hedged.run(ctx, unsent.Send())
+	first, ok := hedged.nextServer()
+	if !ok {
+		return unsent.Refuse(receipt.Reason{
+			Code: receipt.CodeNoServer,
+			Step: receipt.StepPlace,
+			Err:  errNoServer,
+		})
+	}
+	return hedged.run(ctx, unsent.Send(), first)
 }
 
 func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
--- a/workshop/retryclient_test.go
+++ b/workshop/retryclient_test.go
@@ -228,3 +228,33 @@
 		c.Check(effects <= 1, qt.IsTrue, qt.Commentf("%d effects", effects))
 	}
 }
+
+// Load: a first try that fails while the second server has just asked for a pause. The retry goes to the
+// third one, and the skipped server costs nothing of the retry budget.
+func TestServersThatTakeNoCallsAreSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client := newTestClient()
+		refuse := func() bool { return false }
+		notStarted := fixedError(&NotStartedError{Err: errReset})
+		paused := &fakeService{}
+		call := newCall("desk", &fakeService{fail: notStarted}, paused, &fakeService{})
+		call.Servers[1].Admits = refuse
+		_, ok := callOnce(client, call).(receipt.Answered)
+		c.Assert(ok, qt.IsTrue)
+		call = newCall("desk", &fakeService{fail: fixedError(errReset)}, paused, &fakeService{})
+		call.Servers[1].Admits = refuse
+		_, ok = callRepeatable(client, call).(receipt.Answered)
+		c.Assert(ok, qt.IsTrue)
+		calls, _ := paused.counts()
+		c.Assert(calls, qt.Equals, 0)
+
+		for n := range call.Servers {
+			call.Servers[n].Admits = refuse
+		}
+		_, ok = callRepeatable(client, call).(receipt.NotRun)
+		c.Assert(ok, qt.IsTrue)
+		_, ok = callOnce(client, call).(receipt.NotRun)
+		c.Assert(ok, qt.IsTrue)
+	})
+}
