--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/balsamlock/balsamlock/common/recovery"
 )
 
 const (
@@ -246,7 +248,7 @@
 	}()
 	w := newWriter(c, x.Request)
 	w.closeAfter = x.Request.Close || !x.Request.ProtoAtLeast(1, 1) || c.server.draining.Load()
-	c.server.deps.Handler(ctx, w, x)
+	c.callHandler(ctx, w, x)
 	if !w.finished {
 		w.Abort()
 	}
@@ -255,6 +257,13 @@
 	return !disconnected && !w.closeAfter && !w.aborted
 }
 
+// callHandler calls the handler. If it panics, the connection is closed without a complete
+// response, which doesn't state whether the request was run.
+func (c *conn) callHandler(ctx context.Context, w *Writer, x Exchange) {
+	defer recovery.Contain("handle request", func(error) { w.Abort() })
+	c.server.deps.Handler(ctx, w, x)
+}
+
 // isUnambiguous reports whether all parsers agree on where the message with this
 // header ends. It requires at most one Content-Length, of digits only, or one
 // "Transfer-Encoding: chunked", but not both. Folded lines, bare CR or LF, NUL
--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -342,3 +342,26 @@
 		}
 	})
 }
+
+// A panic of the handler ends the connection of its request only.
+func TestPanicEndsOneConnection(t *testing.T) {
+	c := qt.New(t)
+	server, address := startServer(c, func(_ context.Context, w *Writer, x Exchange) {
+		if x.Target == "/panic" {
+			panic("unexpected")
+		}
+		w.Respond(http.StatusOK, http.Header{}, nil)
+	})
+	const sound = "GET /sound HTTP/1.1\r\nHost: a\r\n\r\n"
+	conn, r := dial(c, address)
+	resp, _ := roundTrip(c, conn, r, sound)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	other, otherReader := dial(c, address)
+	_, err := io.WriteString(other, "GET /panic HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	_, err = otherReader.ReadByte()
+	c.Assert(err, qt.IsNotNil, qt.Commentf("the connection ends without a response"))
+	resp, _ = roundTrip(c, conn, r, sound)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	c.Assert(server.Active(), qt.Equals, int64(0))
+}
--- a/workshop/retryclient.go
+++ b/workshop/retryclient.go
@@ -11,6 +11,7 @@
 
 	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/metrics"
+	"github.com/balsamlock/balsamlock/common/recovery"
 	"github.com/balsamlock/balsamlock/common/settings"
 	"github.com/balsamlock/balsamlock/receipt"
 )
@@ -288,7 +289,7 @@
 	start := time.Now()
 	log.Debug().Str(event.Key, string(event.Call)).Str(event.ID, call.Request.Attempt).Str("service", call.Service).
 		Str("server", server.Name).Int("try", n+1).Msg("call sent")
-	answer, err := server.Service.Call(ctx, req)
+	answer, err := callContained(ctx, server.Service, req)
 	c.logFailure(call, server, n, answer, err, time.Since(start))
 	switch {
 	case err == nil:
@@ -304,6 +305,13 @@
 	}
 }
 
+// callContained calls a service. A panic is an error that doesn't state whether the call was
+// run.
+func callContained(ctx context.Context, service Service, req Request) (answer Answer, err error) {
+	defer recovery.Contain("call service", func(panicked error) { err = panicked })
+	return service.Call(ctx, req)
+}
+
 // logFailure logs a try that got no answer or a server error. Cancelled tries aren't
 // logged.
 func (c *RetryClient) logFailure(call Call, server Server, n int, answer Answer, err error, took time.Duration) {
--- a/workshop/retryclient_test.go
+++ b/workshop/retryclient_test.go
@@ -258,3 +258,16 @@
 		c.Assert(ok, qt.IsTrue)
 	})
 }
+
+// A try that panics is one that may have run, and ends no other call.
+func TestPanicInTryIsContained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		client := newTestClient()
+		panics := &fakeService{fail: func(int) error { panic("unexpected") }}
+		_, ok := callRepeatable(client, newCall("desk", panics, &fakeService{})).(receipt.Answered)
+		c.Assert(ok, qt.IsTrue)
+		_, ok = callOnce(client, newCall("desk", panics, &fakeService{})).(receipt.Unknown)
+		c.Assert(ok, qt.IsTrue)
+	})
+}
