platform: Let an odd entry cost its own server only

Cause: entries with a port or a number of slots out of range, a negative start or a name that can't be sent in a header registered a server; each call to it failed after it had used the retry budget, or counted as one that may have run. Numbers beyond a type were converted by rules of the architecture. An entry that could not be decoded left no line unless its server was known, and a malformed item of the store's list ended the read of all. Records of crashes with thousands of parts were kept.

Entries, crash records, headers, reservation ids and handles are checked against what they can be; each odd entry is logged once. Nested entries never ended the process: encoding/json refuses them at 10,000 levels.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(CURDIR)/.bin
 LINT := $(BIN)/golangci-lint
 
-.PHONY: build demo test prove soak fault-soak mutants scale bench measure lint format generate clean
+.PHONY: build demo fuzz test prove soak fault-soak mutants scale bench measure lint format generate clean
 
 build:
 	go build -o $(BIN)/ ./cmd/...
@@ -28,9 +28,16 @@
 demo: build
 	demo/demo.sh
 
+# Decoders of what other writers may leave behind, each for FUZZ_TIME beyond its corpus.
+FUZZ_TIME ?= 2s
+FUZZERS := FuzzDecodeWorker FuzzDecodeManifest FuzzDecodeRecords FuzzDecodeCopy FuzzDecodeCrashRecord FuzzParseResponseHeaders FuzzStream
+fuzz:
+	for name in $(FUZZERS); do go test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME) ./platform || exit 1; done
+
 test: lint
 	go vet ./...
 	go build ./...
+	$(MAKE) fuzz
 	go test -race -timeout 12m -json ./... | go run ./internal/verdict --known-red KNOWN-RED.txt
 	$(MAKE) demo
 
--- a/common/event/event.go
+++ b/common/event/event.go
@@ -52,7 +52,9 @@
 	ServerLapsed Name = "server_lapsed"
 	// ServerRefused reports that a server was removed because its registration can't be
 	// decoded.
-	ServerRefused      Name = "server_refused"
+	ServerRefused Name = "server_refused"
+	// RecordRefused reports a record of the store that can't be decoded.
+	RecordRefused      Name = "record_refused"
 	DependencyLost     Name = "dependency_lost"
 	DependencyRegained Name = "dependency_regained"
 	// HistoryGone reports that the records at the read offset were compacted, so that
