ledger: Skip odd entries of the instance list

Cause: one entry with a value of another type made the whole list undecodable, so that instances went on with the last one for as long as the entry stood there.

Entries are decoded one by one; an odd one is left out and logged once. An entry nested beyond the 10,000 levels of encoding/json still refuses the whole response.

Before: TestListSkipsOddEntries fails. After: passes.

--- a/crew/event.go
+++ b/crew/event.go
@@ -170,7 +170,7 @@
 func (b *builder) applyList(e ListRead) {
 	listed := make(map[string]bool, len(e.Instances))
 	for _, entry := range e.Instances {
-		if entry.Kind != "entry" {
+		if entry.Kind != ledger.KindEntry {
 			b.mergeStatement(entry.Name, entry.Incarnation, entry.State == ledger.InstanceLeaving, e.At)
 			continue
 		}
--- a/entry/assemble.go
+++ b/entry/assemble.go
@@ -227,7 +227,7 @@
 func (i *Instance) keepListed(ctx context.Context) error {
 	ledger.KeepRegistered(ctx, i.platform, ledger.ListedInstance{
 		ID:          i.id,
-		Kind:        "entry",
+		Kind:        ledger.KindEntry,
 		Address:     i.cfg.PeerListen,
 		DataCentre:  i.cfg.DataCentre,
 		State:       ledger.InstanceLive,
--- a/ledger/client.go
+++ b/ledger/client.go
@@ -2,15 +2,20 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-resty/resty/v2"
+	"github.com/phuslu/log"
 
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/common/transport"
 )
 
@@ -34,6 +39,11 @@
 type Client struct {
 	address string
 	rest    *resty.Client
+
+	mu sync.Mutex
+	// refused are the hashes of malformed entries of the instance list that are known to
+	// the log.
+	refused map[uint64]bool
 }
 
 // ErrorResponse is the platform's response to a call that had no effect.
@@ -72,6 +82,7 @@
 	return &Client{
 		address: deps.Address,
 		rest:    rest,
+		refused: map[uint64]bool{},
 	}
 }
 
@@ -171,15 +182,51 @@
 	return nil
 }
 
-// List returns the instance list.
+// List returns the instance list. Entries may come from other writers: one that can't be
+// decoded, or has values that no instance has, is left out and logged.
 func (c *Client) List(ctx context.Context) ([]ListedInstance, error) {
-	var result ListResponse
+	var result struct {
+		Instances []json.RawMessage `json:"instances"`
+	}
 	if err := c.do(ctx, "list", http.MethodGet, "/v1/instances", nil, &result); err != nil {
 		return nil, err
 	}
-	return result.Instances, nil
+	list := make([]ListedInstance, 0, len(result.Instances))
+	for _, raw := range result.Instances {
+		var instance ListedInstance
+		err := json.Unmarshal(raw, &instance)
+		if err == nil {
+			err = instance.Check()
+		}
+		if err != nil {
+			c.logRefused(raw, err)
+			continue
+		}
+		list = append(list, instance)
+	}
+	return list, nil
 }
 
+// logRefused logs a malformed entry of the instance list. The list is read often, so an
+// entry is logged once until maxRefused others were.
+func (c *Client) logRefused(raw []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := xxhash.Sum64(raw)
+	if c.refused[key] {
+		return
+	}
+	if len(c.refused) >= maxRefused {
+		clear(c.refused)
+	}
+	c.refused[key] = true
+	log.Warn().Str(event.Key, string(event.ServerRefused)).Str("peer", c.address).Err(err).
+		Msg("failed to decode an entry of the instance list")
+}
+
+// maxRefused limits the malformed entries that are known to the log.
+const maxRefused = 256
+
 // Register adds an instance to the list or renews it.
 func (c *Client) Register(ctx context.Context, instance ListedInstance, ttl time.Duration) error {
 	body := RegisterRequest{
--- a/ledger/client_test.go
+++ b/ledger/client_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/balsamlock/balsamlock/ledger"
 )
 
@@ -30,3 +36,28 @@
 		}
 	})
 }
+
+// Another writer's odd entry in the instance list doesn't hide the others.
+func TestListSkipsOddEntries(t *testing.T) {
+	c := qt.New(t)
+	const sound = `{"id":"a","kind":"entry","address":"10.0.0.1:80","data_centre":"x","state":"live","incarnation":1}`
+	for _, odd := range []string{
+		`null`, `7`, `"text"`, `[]`, `{}`,
+		`{"id":"b","kind":"entry","address":"10.0.0.1:99999","incarnation":1}`,
+		`{"id":"b","kind":"entry","address":"10.0.0.1:80","incarnation":1e400}`,
+		`{"id":"b","kind":"entry","address":"10.0.0.1:80","incarnation":-1}`,
+		`{"id":"b","kind":"entry","address":7}`,
+		`{"id":"","kind":"entry","address":"10.0.0.1:80","incarnation":1}`,
+		`{"id":` + strings.Repeat("[", 9000) + strings.Repeat("]", 9000) + `}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = fmt.Fprintf(w, `{"instances":[%s,%s,%s]}`, odd, sound, odd)
+		}))
+		client := ledger.NewClient(ledger.ClientDeps{Address: strings.TrimPrefix(server.URL, "http://")})
+		list, err := client.List(c.Context())
+		server.Close()
+		c.Check(err, qt.IsNil, qt.Commentf("%.80s", odd))
+		c.Check(list, qt.HasLen, 1, qt.Commentf("%.80s", odd))
+	}
+}
--- a/ledger/log.go
+++ b/ledger/log.go
@@ -12,6 +12,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/netip"
 	"time"
 )
 
@@ -90,6 +92,23 @@
 	Incarnation uint64 `json:"incarnation"`
 }
 
+// Check returns an error if the values can't be those of an instance.
+func (i ListedInstance) Check() error {
+	address, err := netip.ParseAddrPort(i.Address)
+	switch {
+	case err != nil:
+		return fmt.Errorf("address: %w", err)
+	case address.Port() == 0:
+		return fmt.Errorf("address %q: port is 0", i.Address)
+	case i.ID == "":
+		return errors.New("id is empty")
+	}
+	return nil
+}
+
+// KindEntry is the kind of entry instances.
+const KindEntry = "entry"
+
 // Instances reads the platform's instance list.
 type Instances interface {
 	List(ctx context.Context) ([]ListedInstance, error)
