intake: Let the share of the retry budget lapse by itself

Cause: an instance noticed that it had lost its partitions when its next join failed. A process that had been paused went on with the share of before until then, also if the pause was longer than the lifetime of its membership.

The share has an end, counted from the sending of the join, by the monotonic and the wall clock. After it, half remains, as before while the store is away.

Before: a share had no end (TestSharedRetryBudgetShareLapses does not compile; with SetShare it takes 20 retries after 10 s, 10 are allowed). After: passes.

--- a/intake/sharedretries.go
+++ b/intake/sharedretries.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -39,25 +38,53 @@
 // slack. The budget prevents a retry storm when a backend service fails or is
 // overloaded and all instances retry. It is safe for concurrent use.
 type SharedRetryBudget struct {
-	cfg SharedRetryBudgetConfig
-	// share is this instance's fraction of the slack, as the bits of a float64.
-	share    atomic.Uint64
+	cfg      SharedRetryBudgetConfig
+	share    atomic.Pointer[retryShare]
 	services sync.Map // service to *retryWindow
 }
 
+// retryShare is this instance's fraction of the slack.
+type retryShare struct {
+	fraction float64
+	// until is when the share lapses, or zero if it doesn't.
+	until time.Time
+}
+
+// lapsedFactor is the fraction of its share that an instance keeps after it has lapsed. The
+// rest may have been assigned to other instances.
+const lapsedFactor = 0.5
+
+// at returns the fraction at now. A process that was suspended finds its share lapsed, though
+// the monotonic clock may not have counted that time.
+func (s retryShare) at(now time.Time) float64 {
+	if s.until.IsZero() || now.Before(s.until) && now.Round(0).Before(s.until.Round(0)) {
+		return s.fraction
+	}
+	return lapsedFactor * s.fraction
+}
+
 // NewSharedRetryBudget returns a budget with a share of 0; see SetShare.
 func NewSharedRetryBudget(cfg SharedRetryBudgetConfig) *SharedRetryBudget {
-	return &SharedRetryBudget{cfg: cfg}
+	s := &SharedRetryBudget{cfg: cfg}
+	s.SetShare(0)
+	return s
 }
 
 // SetShare sets this instance's fraction of the slack. Values outside 0 to 1 are
 // clamped.
-func (s *SharedRetryBudget) SetShare(share float64) {
-	s.share.Store(math.Float64bits(min(max(share, 0), 1)))
+func (s *SharedRetryBudget) SetShare(share float64) { s.SetShareUntil(share, time.Time{}) }
+
+// SetShareUntil is like SetShare for a share that lapses unless it is set again: half of it
+// remains then.
+func (s *SharedRetryBudget) SetShareUntil(share float64, until time.Time) {
+	s.share.Store(&retryShare{
+		fraction: min(max(share, 0), 1),
+		until:    until,
+	})
 }
 
-// Share returns this instance's fraction of the slack.
-func (s *SharedRetryBudget) Share() float64 { return math.Float64frombits(s.share.Load()) }
+// Share returns this instance's fraction of the slack now.
+func (s *SharedRetryBudget) Share() float64 { return s.share.Load().at(time.Now()) }
 
 // RecordFirstAttempt records the first attempt of a request and adds to the budget of
 // its service.
--- a/intake/sharedretries_test.go
+++ b/intake/sharedretries_test.go
@@ -94,3 +94,29 @@
 		})
 	})
 }
+
+// A process that was paused may not use a share that has lapsed meanwhile, in the moment before it
+// learns of that. Load: failures of a service while instances are paused and their share is dealt out to
+// the others.
+func TestSharedRetryBudgetShareLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		for _, pause := range []time.Duration{time.Second, 3 * time.Second, 10 * time.Second} {
+			s := NewSharedRetryBudget(newSharedConfig())
+			s.SetShareUntil(0.5, time.Now().Add(3*time.Second))
+			time.Sleep(pause)
+			want := 0.5
+			if pause >= 3*time.Second {
+				want = 0.25
+			}
+			c.Check(s.Share(), qt.Equals, want, qt.Commentf("after %v", pause))
+			taken := 0
+			for s.Take("desk", 1) {
+				taken++
+			}
+			c.Check(float64(taken) <= 0.8*50*want, qt.IsTrue, qt.Commentf("%d retries after %v", taken, pause))
+			s.SetShareUntil(0.5, time.Now().Add(3*time.Second))
+			c.Check(s.Share(), qt.Equals, 0.5)
+		}
+	})
+}
