bulletin: Let one instance of a data centre read the logs for the others

Its reports hold no records: up to which offset a log was read and after which nothing has changed, with the age of that knowledge. An instance whose position lies between needs no read; if something has changed, the report is too old or none can be had, it reads itself with the code of before.

--- /dev/null
+++ b/bulletin/board.go
@@ -0,0 +1,61 @@
+package bulletin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/balsamlock/balsamlock/bulletin/bulletinpb"
+)
+
+// Board holds what this instance has read itself, and serves it to the others. It is safe
+// for concurrent use.
+type Board struct {
+	mu      sync.Mutex
+	reports map[Log]Report
+}
+
+// NewBoard returns an empty board.
+func NewBoard() *Board { return &Board{reports: map[Log]Report{}} }
+
+// Record records a read of a log that began at a time and ended at the offset checked.
+// changed reports whether a record changed anything.
+func (b *Board) Record(log Log, checked uint64, changed bool, began time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	report, known := b.reports[log]
+	if changed || !known || checked < report.Checked {
+		// Without earlier reads, what changed before is unknown.
+		report.Changed = checked
+	}
+	report.Checked = checked
+	report.AsOf = began
+	b.reports[log] = report
+}
+
+// Forget drops what was read of a log, because this instance doesn't read all of it any
+// more.
+func (b *Board) Forget(log Log) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.reports, log)
+}
+
+// Read returns what this instance has read.
+func (b *Board) Read(context.Context, *bulletinpb.ReadRequest) (*bulletinpb.ReadReply, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	reply := &bulletinpb.ReadReply{}
+	for log, report := range b.reports {
+		reply.Reports = append(reply.Reports, &bulletinpb.Report{
+			Log:     string(log),
+			Checked: report.Checked,
+			Changed: report.Changed,
+			AgeMs:   1 + report.Age(now).Milliseconds(),
+		})
+	}
+	return reply, nil
+}
+
+var _ bulletinpb.Bulletin = (*Board)(nil)
--- /dev/null
+++ b/bulletin/bulletin.go
@@ -0,0 +1,131 @@
+// Package bulletin lets a few instances of a data centre read the platform's logs for the
+// others. It answers the load of hundreds of instances that would each ask the platform
+// again and again for news that there rarely is.
+//
+// A reader passes on no records. Its reports say up to which offset it has read a log and
+// after which offset nothing has changed, with the age of that knowledge. An instance
+// whose own position lies between the two needs no read. In all other cases it reads the
+// log itself: if something has changed, if the report is too old, and now and then without
+// a reason. A reader that is frozen, cut off or gone costs reads and delays no news beyond
+// Config.MaxAgeMS. Offsets make reports of several readers comparable: each is true by
+// itself, and none moves a position back.
+//
+// # Usage
+//
+//	watch := bulletin.NewWatch(cfg)
+//	switch d := watch.Decide(bulletin.Servers, next, readAt, time.Now()).(type) {
+//	case bulletin.Read:
+//	case bulletin.Unchanged:
+//		next = d.Next
+//	}
+package bulletin
+
+import (
+	"time"
+
+	"github.com/balsamlock/balsamlock/common/settings"
+)
+
+// Log names a log that all instances follow.
+type Log string
+
+// The logs.
+const (
+	Servers       Log = "servers"
+	Configuration Log = "configuration"
+	Crashes       Log = "crashes"
+)
+
+// Config holds the settings of reports. Times are in milliseconds.
+type Config struct {
+	// PollMS is the interval at which an instance asks a reader, and at which a reader
+	// reads each log.
+	PollMS int `json:"poll_ms"`
+	// TimeoutMS limits the time for the response of a reader.
+	TimeoutMS int `json:"timeout_ms"`
+	// MaxAgeMS is the age up to which knowledge counts, since its read began. It must
+	// leave time for a read that fails once before a change must be known. With 0, every
+	// instance reads the logs itself.
+	MaxAgeMS int `json:"max_age_ms"`
+	// VerifyMS is the interval at which an instance reads a log itself although nothing
+	// has changed.
+	VerifyMS int `json:"verify_ms"`
+}
+
+// DefaultConfig returns the default settings, in which every instance reads the logs
+// itself.
+func DefaultConfig() Config {
+	return Config{
+		PollMS:    700,
+		TimeoutMS: 300,
+		VerifyMS:  60_000,
+	}
+}
+
+// Check records invalid values in p.
+func (c Config) Check(p *settings.Problems) {
+	p.Positive("poll_ms", c.PollMS)
+	p.Positive("timeout_ms", c.TimeoutMS)
+	p.Add(c.MaxAgeMS >= 0, "max_age_ms", c.MaxAgeMS, "a whole number of at least 0")
+	p.Positive("verify_ms", c.VerifyMS)
+}
+
+func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Report is what a reader has read of one log.
+type Report struct {
+	// Checked is the offset up to which the log was read. Changed is the offset after the
+	// last record that changed anything.
+	Checked uint64
+	Changed uint64
+	// AsOf is the time at which the read began, or an earlier one, by this instance's
+	// clocks.
+	AsOf time.Time
+}
+
+// Age returns the age of the report by the clock that has moved further: the monotonic
+// clock may not count the time for which a process was suspended.
+func (r Report) Age(now time.Time) time.Duration {
+	return max(now.Sub(r.AsOf), now.Round(0).Sub(r.AsOf.Round(0)))
+}
+
+// Decision tells a follower of a log how to go on, a sealed interface: Read or Unchanged.
+type Decision interface{ isDecision() }
+
+// Read means that the follower must read the log. Changed is the offset after the last
+// change that is known, or 0 if none is.
+type Read struct{ Changed uint64 }
+
+// Unchanged means that nothing has changed up to the offset Next, as of a time. Unless
+// another report arrives, the decision holds until Until.
+type Unchanged struct {
+	Next  uint64
+	AsOf  time.Time
+	Until time.Time
+}
+
+func (Read) isDecision()      {}
+func (Unchanged) isDecision() {}
+
+// Decide decides whether a follower at the offset next, which last read the log at readAt,
+// must read it.
+func (c Config) Decide(report Report, next uint64, readAt, now time.Time) Decision {
+	switch {
+	case report.AsOf.IsZero() || report.Age(now) >= milliseconds(c.MaxAgeMS) || report.Age(now) < 0:
+		return Read{}
+	case report.Changed > next:
+		return Read{Changed: report.Changed}
+	case now.Sub(readAt) > milliseconds(c.VerifyMS):
+		return Read{}
+	}
+	return Unchanged{
+		Next:  max(next, report.Checked),
+		AsOf:  report.AsOf,
+		Until: report.AsOf.Add(milliseconds(c.MaxAgeMS)),
+	}
+}
+
+var (
+	_ Decision = Read{}
+	_ Decision = Unchanged{}
+)
--- a/common/event/event.go
+++ b/common/event/event.go
@@ -62,6 +62,9 @@
 	HistoryGone Name = "history_gone"
 	// RetryShare reports this instance's share of the retry budget.
 	RetryShare Name = "retry_share"
+	// Reader reports which instance reads the platform's logs for this one, empty if it
+	// reads them itself.
+	Reader Name = "reader"
 )
 
 // Events that concern prompts which crash servers.
--- a/crew/roster.go
+++ b/crew/roster.go
@@ -89,7 +89,7 @@
 		server.Load = old.server.Load
 	}
 	server.Load.Role = server.Role
-	if known && old.until.IsZero() && equalServers(old.server, server) {
+	if known && old.until.IsZero() && SameRegistration(old.server, server) {
 		return false
 	}
 	r.entries[server.Name] = entry{server: server}
@@ -97,7 +97,9 @@
 	return true
 }
 
-func equalServers(a, b Server) bool {
+// SameRegistration reports whether two servers are registered in the same way. Their loads
+// and notices don't count.
+func SameRegistration(a, b Server) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Service == b.Service &&
 		a.Role == b.Role && a.Slots == b.Slots && a.State == b.State && a.Incarnation == b.Incarnation &&
 		a.Model == b.Model && a.ColdUntil.Equal(b.ColdUntil)
--- a/plan/source.go
+++ b/plan/source.go
@@ -77,6 +77,9 @@
 	}
 }
 
+// Position returns the offset after the document that was read last.
+func (s Source) Position() uint64 { return s.documents }
+
 // lastOffset returns the offset of the last record of a log, or 0 if it is empty.
 func lastOffset(end uint64) uint64 {
 	if end == 0 {
