bulletin: Test the decisions and the client of readers

Properties over random readers: no report hides a change, none moves a position back. Readers that are frozen, fail, read nothing or have old reports are skipped.

--- /dev/null
+++ b/bulletin/bulletin_test.go
@@ -0,0 +1,195 @@
+package bulletin_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/balsamlock/balsamlock/bulletin"
+	"github.com/balsamlock/balsamlock/bulletin/bulletinpb"
+)
+
+func testConfig() bulletin.Config {
+	cfg := bulletin.DefaultConfig()
+	cfg.MaxAgeMS = 2200
+	return cfg
+}
+
+func TestDecide(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	cfg := testConfig()
+	report := bulletin.Report{
+		Checked: 90,
+		Changed: 50,
+		AsOf:    now.Add(-time.Second),
+	}
+	unchanged := func(next uint64) bulletin.Decision {
+		return bulletin.Unchanged{
+			Next:  next,
+			AsOf:  report.AsOf,
+			Until: report.AsOf.Add(2200 * time.Millisecond),
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		report bulletin.Report
+		next   uint64
+		readAt time.Time
+		now    time.Time
+		want   bulletin.Decision
+	}{
+		{name: "no report", next: 70, readAt: now, now: now, want: bulletin.Read{}},
+		{name: "nothing changed", report: report, next: 70, readAt: now, now: now, want: unchanged(90)},
+		{name: "position after the report", report: report, next: 95, readAt: now, now: now, want: unchanged(95)},
+		{name: "just after the change", report: report, next: 50, readAt: now, now: now, want: unchanged(90)},
+		{name: "changed", report: report, next: 49, readAt: now, now: now, want: bulletin.Read{Changed: 50}},
+		{name: "too old", report: report, next: 70, readAt: now, now: now.Add(1200 * time.Millisecond), want: bulletin.Read{}},
+		{name: "too old by the wall clock", report: bulletin.Report{Checked: 90, AsOf: now.Round(0).Add(-time.Minute)}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
+		{name: "from the future", report: bulletin.Report{Checked: 90, AsOf: now.Add(time.Minute)}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
+		{name: "to be verified", report: report, next: 70, readAt: now.Add(-time.Hour), now: now, want: bulletin.Read{}},
+		{name: "never read", report: report, next: 0, now: now, want: bulletin.Read{Changed: 50}},
+	} {
+		c.Check(cfg.Decide(test.report, test.next, test.readAt, test.now), qt.DeepEquals, test.want, qt.Commentf("%s", test.name))
+	}
+}
+
+// Reports of any readers never hide a change: a follower that skips to the offset of a report has passed no
+// change that it has not read.
+func TestReportsHideNoChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		boards := []*bulletin.Board{bulletin.NewBoard(), bulletin.NewBoard()}
+		positions := make([]uint64, len(boards))
+		var changes []bool
+		now := time.Now()
+		next, cfg := uint64(0), testConfig()
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			for range rapid.IntRange(0, 3).Draw(t, "records") {
+				changes = append(changes, rapid.IntRange(0, 4).Draw(t, "change") == 0)
+			}
+			at := rapid.IntRange(0, len(boards)-1).Draw(t, "board")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0:
+				boards[at].Forget(bulletin.Servers)
+			default:
+				changed := false
+				for offset := positions[at]; offset < uint64(len(changes)); offset++ {
+					changed = changed || changes[offset]
+				}
+				positions[at] = uint64(len(changes))
+				boards[at].Record(bulletin.Servers, positions[at], changed, now)
+			}
+			reply, _ := boards[rapid.IntRange(0, len(boards)-1).Draw(t, "asked")].Read(context.Background(), nil)
+			var report bulletin.Report
+			for _, r := range reply.Reports {
+				report = bulletin.Report{
+					Checked: r.Checked,
+					Changed: r.Changed,
+					AsOf:    now,
+				}
+			}
+			switch d := cfg.Decide(report, next, now, now).(type) {
+			case bulletin.Read:
+				next = uint64(len(changes))
+			case bulletin.Unchanged:
+				for offset := next; offset < d.Next; offset++ {
+					if changes[offset] {
+						t.Fatalf("skipped the change at %d: %d to %d", offset, next, d.Next)
+					}
+				}
+				if d.Next < next {
+					t.Fatalf("moved back from %d to %d", next, d.Next)
+				}
+				next = d.Next
+			}
+		}
+	})
+}
+
+// fakeReader is a reader with a fixed reply.
+type fakeReader struct {
+	reply *bulletinpb.ReadReply
+	delay time.Duration
+	err   error
+	asked int
+}
+
+func (r *fakeReader) Read(ctx context.Context, _ *bulletinpb.ReadRequest) (*bulletinpb.ReadReply, error) {
+	r.asked++
+	select {
+	case <-time.After(r.delay):
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func replyOfAge(age time.Duration) *bulletinpb.ReadReply {
+	return &bulletinpb.ReadReply{Reports: []*bulletinpb.Report{{
+		Log:     string(bulletin.Servers),
+		Checked: 9,
+		AgeMs:   age.Milliseconds(),
+	}}}
+}
+
+// A reader that is frozen, fails, reads nothing or has old reports is not relied on, and another one is
+// asked at once.
+func TestClientSkipsReadersThatCannotBeUsed(t *testing.T) {
+	for name, bad := range map[string]*fakeReader{
+		"frozen":        {delay: time.Hour},
+		"failing":       {err: errors.New("connection refused")},
+		"reads nothing": {reply: &bulletinpb.ReadReply{}},
+		"old reports":   {reply: replyOfAge(1600 * time.Millisecond)},
+		"oldest report": {reply: replyOfAge(1 << 62)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				good := &fakeReader{reply: replyOfAge(100 * time.Millisecond)}
+				readers := map[string]*fakeReader{
+					"10.0.0.1:1": bad,
+					"10.0.0.2:1": good,
+				}
+				watch := bulletin.NewWatch(testConfig())
+				failures := 0
+				client := bulletin.NewClient(bulletin.Deps{
+					Instance: "entry-1",
+					Readers:  func() []string { return []string{"10.0.0.1:1", "10.0.0.2:1"} },
+					Failed:   func() { failures++ },
+					Dial:     func(address string) bulletinpb.Bulletin { return readers[address] },
+					Watch:    watch,
+					Config:   testConfig(),
+				})
+				ctx, cancel := context.WithCancel(c.Context())
+				done := make(chan error, 1)
+				go func() { done <- client.Run(ctx) }()
+				time.Sleep(5 * time.Second)
+				c.Check(client.Reader(), qt.Equals, "10.0.0.2:1")
+				_, unchanged := watch.Decide(bulletin.Servers, 9, time.Now(), time.Now()).(bulletin.Unchanged)
+				c.Check(unchanged, qt.IsTrue)
+				c.Check(bad.asked == 0 || failures == bad.asked, qt.IsTrue)
+
+				good.err = errors.New("connection reset")
+				time.Sleep(3 * time.Second)
+				c.Check(client.Reader(), qt.Equals, "")
+				c.Check(watch.Decide(bulletin.Servers, 9, time.Now(), time.Now()), qt.DeepEquals, bulletin.Decision(bulletin.Read{}))
+				cancel()
+				c.Check(<-done, qt.IsNil)
+			})
+		})
+	}
+}
+
+// A reader that was suspended doesn't take its reports for fresh.
+func TestReportAgeCountsSuspension(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	// Without the monotonic reading, as after a suspension that the monotonic clock hasn't counted.
+	report := bulletin.Report{AsOf: now.Round(0).Add(-10 * time.Second)}
+	c.Assert(report.Age(now) >= 10*time.Second, qt.IsTrue)
+}
