standin: Count no expired reservations as dropped by a change of role

Cause: a change of role counted all reservations that were not removed yet, and only some calls remove expired ones. TestRoleChangeCountsNoExpiredReservations: 4, want 0.

--- a/standin/engine_test.go
+++ b/standin/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -235,3 +236,34 @@
 		c.Assert(p.decode.holdings(), qt.HasLen, 1)
 	})
 }
+
+// Reservations that have expired are no requests that a change of role drops.
+func TestRoleChangeCountsNoExpiredReservations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cfg := DefaultEngineConfig()
+		cfg.Role = kiln.RoleDecode
+		cfg.Models = []string{testModel + "@1"}
+		engine := NewEngine(cfg, EngineDeps{
+			Address: decodeAddress,
+			Peers:   NewDirectory(),
+		})
+		for n := range 4 {
+			c.Assert(engine.Reserve(c.Context(), kiln.ReserveRequest{
+				Attempt: fmt.Sprint("r", n),
+				Owner:   testOwner,
+				Model:   testModel,
+				Tokens:  1000,
+				HoldMS:  2000,
+			}), qt.IsNil)
+		}
+		time.Sleep(3 * time.Second)
+		_, err := engine.Order(c.Context(), kiln.OrderRequest{
+			Kind:  kiln.OrderChangeRole,
+			Role:  kiln.RolePrefill,
+			Fence: 1,
+		})
+		c.Assert(err, qt.IsNil)
+		c.Assert(engine.Applied()[0].DroppedRequests, qt.Equals, 0)
+	})
+}
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -168,6 +168,7 @@
 	case kiln.OrderUnload:
 		e.unloadLocked(req.Model)
 	case kiln.OrderChangeRole:
+		e.expireLocked()
 		applied.DroppedRequests = len(e.allocations)
 		e.dropLocked(ErrConnectionLost)
 		e.role = req.Role
