--- a/common/event/event.go
+++ b/common/event/event.go
@@ -32,6 +32,8 @@
 	// Panic reports an unexpected error that was contained to one request or background
 	// loop.
 	Panic Name = "panic"
+	// Library reports a message that a library has logged by itself.
+	Library Name = "library"
 )
 
 // Events that report the instance's view of its environment.
--- a/common/program/log.go
+++ b/common/program/log.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	stdlog "log"
+	"strings"
 
 	"github.com/phuslu/log"
 
@@ -35,5 +37,21 @@
 	}
 	writer := logbook.New(logConfig, out, log.DefaultLogger)
 	log.DefaultLogger.Writer = writer
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{})
 	return writer
 }
+
+// libraryLog writes what libraries log by themselves as lines of the program's log, within its
+// limits. net/http logs unexpected bytes of servers in this way.
+type libraryLog struct{}
+
+// maxLibraryBytes limits a message, which may quote what a server has sent.
+const maxLibraryBytes = 200
+
+// Write writes one message.
+func (libraryLog) Write(message []byte) (int, error) {
+	text := strings.TrimSpace(string(message))
+	log.Warn().Str(event.Key, string(event.Library)).Str("text", text[:min(len(text), maxLibraryBytes)]).Msg("message of a library")
+	return len(message), nil
+}
