review: Send three to four short drafts a second in case 1

Drafts come as often as a machine of the site gets them, and the long ones fill the remaining engines more surely.

The stand-ins also end their processes when a signal ends the run.

--- a/review/_kit/case1.go
+++ b/review/_kit/case1.go
@@ -15,7 +15,7 @@
 // engines, these are full, and drafts wait in the instance.
 func stopWhileWaiting(l *lab) ([]string, error) {
 	const (
-		longClients, longEvents = 17, 130
+		longClients, longEvents = 18, 130
 		shortEvents             = 14
 		// stopAfter is the time from the start of the long drafts to the SIGTERM. They last 6.1 s.
 		stopAfter = 1150 * time.Millisecond
@@ -27,18 +27,18 @@
 	first, second := d.front[0], d.front[1]
 	// Usual traffic of the first instance, from which it learns how long short drafts last.
 	var usual sync.WaitGroup
-	for n := range 32 {
+	for n := range 24 {
 		usual.Go(func() {
 			if c, err := l.dial(fmt.Sprintf("usual%d", n+1), first); err == nil {
 				c.do(newStream(prefixDraft, shortEvents, shortEvents), timeBudget)
 				c.close()
 			}
 		})
-		time.Sleep(150 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
 	}
 	usual.Wait()
 	var kept []*channel
-	for n := range 33 {
+	for n := range 26 {
 		c, err := l.dial(fmt.Sprintf("kept%d", n+1), first)
 		if err != nil {
 			return nil, err
@@ -65,7 +65,7 @@
 	var wg sync.WaitGroup
 	for _, c := range kept {
 		wg.Go(func() { got.add(c.do(newStream(prefixDraft, shortEvents, shortEvents), timeBudget)) })
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(250 * time.Millisecond)
 	}
 	wg.Wait()
 	close(end)
--- a/review/_kit/main.go
+++ b/review/_kit/main.go
@@ -13,6 +13,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -53,9 +55,13 @@
 			err:        err,
 		}
 	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	var r result
 	select {
 	case r = <-done:
+	case sig := <-signals:
+		r.err = fmt.Errorf("ended by signal: %s", sig)
 	case <-time.After(maxRun):
 		r.err = fmt.Errorf("case %s did not end within %s", name, maxRun)
 	}
