review: Let an engine preempt streams while their instance stops

A stream whose sound engine has preempted it is cut after 3 s of silence, since the part of the retry budget that the instance holds is used up.

--- a/review/_kit/worker.go
+++ b/review/.kit/worker.go
@@ -85,6 +85,9 @@
 	running  int
 	held     map[string]hold
 	lastHold int
+	// preempts is set if the memory of runs grows with each token, and runs are preempted when it is full.
+	preempts bool
+	growing  []*growingRun
 	// used is the memory of the running streams, in tokens.
 	used     int
 	log      []*received
@@ -249,7 +252,7 @@
 // freeLocked returns the slots and the memory that are neither used nor held.
 func (w *worker) freeLocked() (slots, tokens int) {
 	now := time.Now()
-	slots, tokens = w.slots-w.running, kvTokens-w.used
+	slots, tokens = w.slots-w.running, kvTokens-w.used-w.usedLocked()
 	for id, h := range w.held {
 		if now.After(h.until) {
 			delete(w.held, id)
@@ -312,7 +315,7 @@
 	w.mu.Lock()
 	w.log = append(w.log, entry)
 	lease := r.Header.Get(headerHold)
-	_, isHeld := w.held[lease]
+	held, isHeld := w.held[lease]
 	delete(w.held, lease)
 	tokens := w.memory(r)
 	entry.ran = isHeld || w.admitsLocked(tokens)
@@ -335,6 +338,8 @@
 	whole := false
 	if w.stage == "" {
 		whole = w.answer(r.Context(), rw, r, body)
+	} else if w.preempts {
+		whole = w.streamInMemory(r.Context(), rw, r, attempt, held)
 	} else {
 		whole = w.stream(r.Context(), rw, r, attempt)
 	}
@@ -353,7 +358,7 @@
 
 // memory returns the memory that a request takes in the end, in tokens.
 func (w *worker) memory(r *http.Request) int {
-	if w.stage == "" {
+	if w.stage == "" || w.preempts {
 		return 0
 	}
 	prompt, _, _ := strings.Cut(r.Header.Get(headerTokens), ",")
