--- a/review/.kit/case2.go
+++ b/review/.kit/case2.go
@@ -42,14 +42,14 @@
 	l.record("%s: writes its entry, born %v; the store loses its answer", x.id, earlier["born"])
 	if l.trouble {
 		wg.Go(func() {
-			until(6.0)
+			until(5.95)
 			l.store.putJSON(topicServers, x.id, earlier)
-			l.record("%s: the write of 6.0 s ago, born %v, is executed", x.id, earlier["born"])
+			l.record("%s: the write of 5.95 s ago, born %v, is executed", x.id, earlier["born"])
 		})
 	}
 	until(0.5)
 	x.stop()
-	until(2.35)
+	until(2.25)
 	if err := x.startAgain(); err != nil {
 		return nil, err
 	}
--- a/review/.kit/case4.go
+++ b/review/.kit/case4.go
@@ -20,7 +20,7 @@
 		// fullStep is the time of 72 steps with 8 requests and 80,000 tokens of context.
 		fullStep = 53 * time.Millisecond
 	)
-	d, err := l.deploy(2, 1, 1, 6, manifest(2))
+	d, err := l.deploy(3, 1, 1, 6, manifest(2))
 	if err != nil {
 		return nil, err
 	}
