intake, platform: Answer every request before a stop ends

Callers of a stopping instance saw streams on kept connections end without an answer: sent about 5 s after SIGTERM, they waited for a full engine and lost their connection when the process exited, although they had run nowhere.

The backlog now learns by when all runs must have ended and refuses, also among the waiting requests, what could only begin later.

Tried: bounding LatestStart when the request arrives. It leaves out requests that wait already when SIGTERM comes.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -234,7 +234,7 @@
 // request. While the handler runs, a pending read detects a disconnect of the caller
 // and cancels the context.
 func (c *conn) handle(x Exchange) bool {
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(c.server.requests)
 	defer cancel()
 	_ = c.netConn.SetReadDeadline(time.Time{})
 	disconnects := make(chan bool, 1)
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -20,6 +20,7 @@
 //	go server.Serve(listener)
 //	...
 //	server.Drain()
+//	server.Interrupt(errStopping)
 //	server.Close()
 package ingress
 
@@ -88,6 +89,9 @@
 	draining atomic.Bool
 	closed   atomic.Bool
 	active   atomic.Int64
+	// requests is the parent of the contexts of all requests.
+	requests  context.Context
+	interrupt context.CancelCauseFunc
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -95,9 +99,12 @@
 
 // NewServer returns a server.
 func NewServer(deps Deps) *Server {
+	requests, interrupt := context.WithCancelCause(context.Background())
 	return &Server{
-		deps:  deps,
-		conns: map[*conn]struct{}{},
+		deps:      deps,
+		requests:  requests,
+		interrupt: interrupt,
+		conns:     map[*conn]struct{}{},
 	}
 }
 
@@ -129,6 +136,10 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// Interrupt cancels the contexts of all requests, in progress or new, with a cause. Their
+// handlers can still respond.
+func (s *Server) Interrupt(cause error) { s.interrupt(cause) }
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.closed.Store(true)
--- a/firing/queue.go
+++ b/firing/queue.go
@@ -57,6 +57,7 @@
 		Cost:        req.cost(),
 		DueAt:       limits.RefuseAt,
 		LatestStart: limits.LatestStart,
+		RunTime:     req.RunTime,
 	})
 	if reason != nil {
 		return nil, reason
--- a/firing/request.go
+++ b/firing/request.go
@@ -60,6 +60,9 @@
 	// LatestStart is the time until which a start is still useful although it misses
 	// FirstToken. If zero, a late start is not useful.
 	LatestStart time.Time
+	// RunTime is the time from a start to the last token in nearly all cases, 0 if
+	// unknown.
+	RunTime time.Duration
 	// AnswerBytes is the expected length of the answer, 0 if unknown.
 	AnswerBytes int
 	// MemoryTokens is the KV memory to reserve on the decode engine, in tokens. If
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -221,7 +221,7 @@
 	return &receipt.Reason{
 		Code: code,
 		Step: step,
-		Err:  ctx.Err(),
+		Err:  context.Cause(ctx),
 	}
 }
 
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -58,6 +58,8 @@
 	// LatestStart is zero, the request is refused when it becomes late.
 	DueAt       time.Time
 	LatestStart time.Time
+	// RunTime is the time from a start to the end of the response in nearly all cases.
+	RunTime time.Duration
 }
 
 // Backlog queues requests until they can be placed on an engine. It handles bursts
@@ -74,6 +76,10 @@
 	onTime  []*JobTurn
 	late    []*JobTurn
 	placing int
+	// endAt is the time by which all requests must have ended, or zero. limitsChanged is
+	// closed when it is set.
+	endAt         time.Time
+	limitsChanged chan struct{}
 	// blockedUntil is the time until which no free capacity is expected.
 	blockedUntil time.Time
 	unblockTimer *time.Timer
@@ -89,8 +95,9 @@
 // NewBacklog returns an empty backlog.
 func NewBacklog(cfg BacklogConfig) *Backlog {
 	b := &Backlog{
-		cfg:         cfg,
-		finishTimes: map[string]float64{},
+		cfg:           cfg,
+		limitsChanged: make(chan struct{}),
+		finishTimes:   map[string]float64{},
 	}
 	b.starts.windowStart = time.Now()
 	b.lateStarts.windowStart = b.starts.windowStart
@@ -111,6 +118,25 @@
 	return latest
 }
 
+// EndBy refuses the requests, waiting or new, whose runs could not end by a time. It is
+// called when the instance stops: a run that begins later would be cut off. Later calls
+// have no effect.
+func (b *Backlog) EndBy(end time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.endAt.IsZero() {
+		return
+	}
+	b.endAt = end
+	close(b.limitsChanged)
+}
+
+// missesEndLocked reports whether a run that begins now could not end in time. Expedited
+// requests may begin at any time: what they continue would be cut off at once otherwise.
+func (b *Backlog) missesEndLocked(t *JobTurn, now time.Time) bool {
+	return !t.expedited && !b.endAt.IsZero() && !now.Before(b.endAt.Add(-t.job.RunTime))
+}
+
 // Waiting returns the number of waiting requests and how many of them are late.
 func (b *Backlog) Waiting() (all, late int) {
 	b.mu.Lock()
@@ -145,6 +171,9 @@
 // request was refused.
 func (b *Backlog) pushLocked(t *JobTurn, now time.Time) *receipt.Reason {
 	t.granted = make(chan struct{})
+	if b.missesEndLocked(t, now) {
+		return b.stoppingReasonLocked(t, now)
+	}
 	if t.isExpired(now) {
 		return b.overloadedReasonLocked(t, now)
 	}
@@ -198,17 +227,32 @@
 		Code:       receipt.CodeOverloaded,
 		Step:       receipt.StepAdmit,
 		RetryAfter: time.Duration(b.cfg.RetryAfterMS) * time.Millisecond,
-		Err: &OverloadError{
-			Waited:          now.Sub(t.arrived),
-			Waiting:         len(b.onTime),
-			Late:            len(b.late),
-			StartsPerSecond: b.starts.perSecond(now),
-		},
+		Err:        b.overloadErrorLocked(t, now),
+	}
+}
+
+// stoppingReasonLocked returns the refusal of a request whose run could not end before the
+// instance does. Another instance may still start it in time.
+func (b *Backlog) stoppingReasonLocked(t *JobTurn, now time.Time) *receipt.Reason {
+	return &receipt.Reason{
+		Code: receipt.CodeShuttingDown,
+		Step: receipt.StepAdmit,
+		Err:  b.overloadErrorLocked(t, now),
+	}
+}
+
+func (b *Backlog) overloadErrorLocked(t *JobTurn, now time.Time) *OverloadError {
+	return &OverloadError{
+		Waited:          now.Sub(t.arrived),
+		Waiting:         len(b.onTime),
+		Late:            len(b.late),
+		StartsPerSecond: b.starts.perSecond(now),
 	}
 }
 
 // expire handles a request that has reached its limit: an on-time request moves to the
-// late queue or is refused, a late one is refused.
+// late queue or is refused, a late one is refused. So is any request that could no longer
+// end in time.
 func (b *Backlog) expire(t *JobTurn, now time.Time) *receipt.Reason {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -216,7 +260,7 @@
 		// The turn was granted concurrently.
 		return nil
 	}
-	if t.isLate {
+	if t.isLate && !b.missesEndLocked(t, now) {
 		return b.overloadedReasonLocked(t, now)
 	}
 	return b.pushLocked(t, now)
--- a/intake/backlog_test.go
+++ b/intake/backlog_test.go
@@ -370,3 +370,35 @@
 		wg.Wait()
 	})
 }
+
+// Guards against requests that wait in a stopping instance for longer than it lives.
+func TestBacklogRefusesWhatCannotEndInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(DefaultBacklogConfig())
+		began := time.Now()
+		enter := func(job Job) time.Duration {
+			turn, reason := b.Enter(t.Context(), job)
+			for reason == nil {
+				reason = turn.Wait(t.Context(), 10*time.Millisecond)
+			}
+			c.Check(reason.Code, qt.Equals, receipt.CodeShuttingDown)
+			return time.Since(began)
+		}
+		job := newJob(10, time.Second, 3*time.Second)
+		job.RunTime = 2 * time.Second
+		var wg sync.WaitGroup
+		wg.Go(func() { c.Check(enter(job), qt.Equals, 2500*time.Millisecond) })
+		time.Sleep(500 * time.Millisecond)
+		b.EndBy(began.Add(4500 * time.Millisecond))
+		b.EndBy(began.Add(time.Hour))
+		wg.Wait()
+		c.Check(enter(job), qt.Equals, 2500*time.Millisecond)
+		// A stream that goes on elsewhere is not refused.
+		turn, reason := b.Enter(t.Context(), newJob(10, time.Second, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+		turn.Expedite()
+		time.Sleep(3 * time.Second)
+		c.Assert(turn.Wait(t.Context(), 10*time.Millisecond) == nil, qt.IsTrue)
+	})
+}
--- a/intake/jobturn.go
+++ b/intake/jobturn.go
@@ -92,13 +92,14 @@
 	reason := b.pushLocked(t, time.Now())
 	b.mu.Unlock()
 	for reason == nil {
-		limit, stop := t.nextLimit()
+		limit, changed, stop := t.nextLimit()
 		select {
 		case <-t.granted:
 			stop()
 			return nil
 		case <-limit:
 			reason = b.expire(t, time.Now())
+		case <-changed:
 		case <-ctx.Done():
 			reason = contextReason(ctx)
 		}
@@ -108,21 +109,29 @@
 	return reason
 }
 
-// nextLimit returns a channel that receives when the request becomes late or expires,
-// and a function that stops its timer. The channel is nil if there is no limit.
-func (t *JobTurn) nextLimit() (<-chan time.Time, func()) {
-	t.backlog.mu.Lock()
+// nextLimit returns a channel that receives when the request becomes late, expires or
+// could no longer end in time, one that is closed when this limit changes, and a function
+// that stops the timer. A channel is nil if there is no limit or no further change.
+func (t *JobTurn) nextLimit() (limit <-chan time.Time, changed <-chan struct{}, stop func()) {
+	b := t.backlog
+	b.mu.Lock()
 	until := t.job.DueAt
 	if t.isLate || !t.job.LatestStart.IsZero() && t.job.LatestStart.Before(until) {
 		until = t.job.LatestStart
 	}
-	if t.expedited {
+	last := b.endAt.Add(-t.job.RunTime)
+	switch {
+	case t.expedited:
 		until = time.Time{}
+	case b.endAt.IsZero():
+		changed = b.limitsChanged
+	case until.IsZero() || last.Before(until):
+		until = last
 	}
-	t.backlog.mu.Unlock()
+	b.mu.Unlock()
 	if until.IsZero() {
-		return nil, func() {}
+		return nil, changed, func() {}
 	}
 	timer := time.NewTimer(time.Until(until))
-	return timer.C, func() { timer.Stop() }
+	return timer.C, changed, func() { timer.Stop() }
 }
--- a/intake/queue.go
+++ b/intake/queue.go
@@ -250,6 +250,6 @@
 	return &receipt.Reason{
 		Code: code,
 		Step: receipt.StepAdmit,
-		Err:  ctx.Err(),
+		Err:  context.Cause(ctx),
 	}
 }
--- a/intake/shutdown.go
+++ b/intake/shutdown.go
@@ -44,6 +44,16 @@
 	return g.deadline(*began).Sub(now)
 }
 
+// End returns the time by which all requests must have ended, and false before the
+// shutdown.
+func (g *ShutdownGate) End() (time.Time, bool) {
+	began := g.begunAt.Load()
+	if began == nil {
+		return time.Time{}, false
+	}
+	return g.deadline(*began), true
+}
+
 func (g *ShutdownGate) deadline(began time.Time) time.Time {
 	return began.Add(g.grace - shutdownMargin)
 }
