firing: Cancel a silent stream only if it can continue

Callers saw a stream reset in the middle after 3 s without a token, while its engine had only preempted it and was about to go on.

Cause: generation.stallTimeout asked whether the route allows another run, but the retry budget was asked after the run had been cancelled, and nothing asked for free capacity elsewhere.

A stallWatch now cancels once another engine has room and the retry is paid, which attempt uses then. Cancelling earlier could only end the stream.

Without the change TestSilentStreamIsNotCutWithoutAnotherRun fails in both variants (5 of 30 tokens delivered: server_failed, no_server).

--- a/firing/fake_test.go
+++ b/firing/fake_test.go
@@ -14,7 +14,10 @@
 	"github.com/balsamlock/balsamlock/kiln"
 )
 
-const stepDuration = 10 * time.Millisecond
+const (
+	stepDuration = 10 * time.Millisecond
+	preemptedAt  = 5
+)
 
 var errBroken = errors.New("connection reset")
 
@@ -33,8 +36,10 @@
 	decodeErr error
 	// firstTokenDelay is the delay before the first token of each stream.
 	firstTokenDelay time.Duration
-	streamErr       error
-	importDelay     time.Duration
+	// preemptedFor is how long each stream is silent before the token preemptedAt.
+	preemptedFor time.Duration
+	streamErr    error
+	importDelay  time.Duration
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -188,6 +193,9 @@
 	if s.engine.firstTokenDelay > 0 && s.next == 0 {
 		delay = s.engine.firstTokenDelay
 	}
+	if s.next == preemptedAt {
+		delay += s.engine.preemptedFor
+	}
 	if err := sleep(ctx, delay); err != nil {
 		return kiln.Frame{}, err
 	}
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -60,8 +61,10 @@
 	lastPrefillAt time.Time
 	// hasPrefilled is set once an engine has accepted a prefill.
 	hasPrefilled bool
-	prefilled    int
-	wasted       int
+	// retryPaid is set if the next retry has already been taken from the retry budget.
+	retryPaid atomic.Bool
+	prefilled int
+	wasted    int
 }
 
 // decodeStepTime is the duration of one decode step with a full batch.
@@ -217,7 +220,7 @@
 	if g.tries >= g.runner.cfg.Tries {
 		return false
 	}
-	if g.runner.deps.Retries == nil || g.req.Class == ClassDraft || g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls()) {
+	if g.retryPaid.Swap(false) || g.takeRetry() {
 		return true
 	}
 	log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, g.req.ID).Str("service", g.req.Caller).
@@ -225,6 +228,23 @@
 	return false
 }
 
+// takeRetry reports whether the retry budget allows one more attempt, and takes it from
+// the budget if so.
+func (g *generation) takeRetry() bool {
+	return g.runner.deps.Retries == nil || g.req.Class == ClassDraft ||
+		g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls())
+}
+
+// prepayRetry is like mayRetry for an attempt that begins after the current one has been
+// cancelled. It may be called while that one runs.
+func (g *generation) prepayRetry() bool {
+	if g.tries >= g.runner.cfg.Tries || !g.takeRetry() {
+		return false
+	}
+	g.retryPaid.Store(true)
+	return true
+}
+
 // failureOutcome returns the outcome of a request whose answer is missing or
 // incomplete.
 func (g *generation) failureOutcome(reason receipt.Reason) receipt.Outcome {
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -108,13 +108,14 @@
 }
 
 // streamOnce relays the frames of one connection. It returns nil after the last frame.
-// It cancels the connection if no token arrives within stallTimeout.
+// If no token arrives within stallTimeout, it cancels the connection, but not before the
+// stream can continue elsewhere.
 func (a *attempt) streamOnce(ctx context.Context, address string) error {
 	stall := a.g.stallTimeout()
 	streamCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watchdog := time.AfterFunc(stall, cancel)
-	defer watchdog.Stop()
+	watch := newStallWatch(a, stall, cancel)
+	defer watch.stop()
 	stream, err := a.engine(address).Decode(streamCtx, kiln.DecodeRequest{
 		Attempt:   a.id,
 		Owner:     a.g.owner,
@@ -133,7 +134,7 @@
 		if err != nil || last {
 			return err
 		}
-		watchdog.Reset(stall)
+		watch.progress(a.g.next)
 	}
 }
 
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -176,6 +176,41 @@
 	}
 }
 
+// exhaustedBudget and a single decode engine: a stream that the engine has preempted can't
+// continue elsewhere. Guards against cutting it, although its engine goes on with it.
+func TestSilentStreamIsNotCutWithoutAnotherRun(t *testing.T) {
+	for name, decodeEngines := range map[string]int{
+		"no retry left":   2,
+		"no other engine": 1,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				engines := newFakeCluster(1, 2, decodeEngines)
+				deps := firing.Deps{
+					Engines:  engines,
+					Placer:   quotation.NewPlacer(quotation.Deps{Servers: engines}),
+					Instance: "entry-1",
+					Config:   strictConfig(),
+				}
+				if decodeEngines > 1 {
+					deps.Retries = exhaustedBudget{}
+				}
+				runner := firing.NewRunner(deps)
+				defer runner.Close()
+				for _, engine := range engines.engines {
+					engine.preemptedFor = 3500 * time.Millisecond
+				}
+				sink := &collector{}
+				result := runner.Run(c.Context(), strictRequest("r1", true), sink)
+				c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+				c.Assert(sink.frames, qt.HasLen, 30)
+				c.Assert(engines.decodes(), qt.Equals, 1)
+			})
+		})
+	}
+}
+
 // staleStatePlacer is a Placer whose engine state is stale until freshAt, as after the
 // process was suspended.
 type staleStatePlacer struct {
