program: Keep a repeated SIGTERM from ending a stop

A second SIGTERM or SIGINT ended a stopping instance at once and cut all its requests in progress: the run group's handler was removed with the first signal. The handler now stays until the process exits, and repeated signals are logged and ignored.

--- a/common/program/program.go
+++ b/common/program/program.go
@@ -13,13 +13,11 @@
 package program
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/oklog/run"
@@ -109,7 +107,7 @@
 
 func runGroup(setup func(g *run.Group) error) int {
 	var g run.Group
-	g.Add(run.SignalHandler(context.Background(), syscall.SIGTERM, syscall.SIGINT))
+	addTermination(&g)
 	if err := setup(&g); err != nil {
 		log.Error().Str(event.Key, string(event.Exit)).Err(err).Msg("startup failed")
 		return ExitFailed
--- /dev/null
+++ b/common/program/signals.go
@@ -0,0 +1,35 @@
+package program
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/oklog/run"
+	"github.com/phuslu/log"
+
+	"github.com/balsamlock/balsamlock/common/event"
+)
+
+// addTermination adds an actor that ends the group on SIGTERM or SIGINT. The signals stay
+// handled until the process exits: a repeated one must not cut off a graceful stop.
+func addTermination(g *run.Group) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan struct{})
+	g.Add(func() error {
+		select {
+		case s := <-signals:
+			go logRepeated(signals)
+			return &run.SignalError{Signal: s}
+		case <-done:
+			return nil
+		}
+	}, func(error) { close(done) })
+}
+
+func logRepeated(signals <-chan os.Signal) {
+	for s := range signals {
+		log.Warn().Str(event.Key, string(event.Stop)).Str("signal", s.String()).Msg("already stopping, signal ignored")
+	}
+}
