program, logbook: Survive the loss of the log's reader

An instance ended with SIGPIPE (141), and its requests with it, when the reader of its standard output left: that is Go's default for descriptors 1 and 2.

--- a/common/logbook/logbook.go
+++ b/common/logbook/logbook.go
@@ -68,6 +68,9 @@
 	Routine int64 `json:"routine"`
 	// Important is the number of lines of all other levels.
 	Important int64 `json:"kept"`
+	// Unwritten is the number of lines whose write failed, for example because the reader
+	// of the standard output has ended.
+	Unwritten int64 `json:"unwritten"`
 }
 
 // Writer is a rate-limited log.Writer that never blocks.
@@ -84,6 +87,7 @@
 	bytes     bucket.Bucket
 	routine   lineClass
 	important lineClass
+	unwritten atomic.Int64
 }
 
 // New returns a Writer that writes to out. Lines that report dropped lines have the
@@ -116,6 +120,7 @@
 	return DropCounts{
 		Routine:   w.routine.dropped.Load(),
 		Important: w.important.dropped.Load(),
+		Unwritten: w.unwritten.Load(),
 	}
 }
 
@@ -148,8 +153,10 @@
 				w.report(&reported)
 				return
 			}
-			// There is no other place to report a failed write.
-			_, _ = w.output.Write(line)
+			// Failures can be reported only later, or in the metrics.
+			if _, err := w.output.Write(line); err != nil {
+				w.unwritten.Add(1)
+			}
 		case <-ticker.C:
 			w.report(&reported)
 		}
@@ -163,7 +170,7 @@
 		return
 	}
 	w.logger.Warn().Str(event.Key, string(event.LinesDropped)).Int64("routine", dropped.Routine-reported.Routine).
-		Int64("kept", dropped.Important-reported.Important).Msg("log lines dropped")
+		Int64("kept", dropped.Important-reported.Important).Int64("unwritten", dropped.Unwritten-reported.Unwritten).Msg("log lines dropped")
 	*reported = dropped
 }
 
--- a/common/logbook/logbook_test.go
+++ b/common/logbook/logbook_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -54,7 +56,7 @@
 	return sum
 }
 
-func newLogger(cfg logbook.Config, out *output) (*log.Logger, *logbook.Writer) {
+func newLogger(cfg logbook.Config, out io.Writer) (*log.Logger, *logbook.Writer) {
 	w := logbook.New(cfg, out, log.Logger{})
 	return &log.Logger{
 		Level:  log.DebugLevel,
@@ -139,3 +141,19 @@
 		c.Check(out.reportedDrops(c), qt.Equals, w.Dropped())
 	})
 }
+
+// brokenOutput fails each write, like a pipe whose reader has ended.
+type brokenOutput struct{}
+
+func (brokenOutput) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// Guards against lines that are lost without being counted.
+func TestFailedWritesAreCounted(t *testing.T) {
+	c := qt.New(t)
+	logger, w := newLogger(logbook.DefaultConfig(), brokenOutput{})
+	for range 3 {
+		logger.Warn().Msg("answered")
+	}
+	w.Close()
+	c.Assert(w.Dropped(), qt.Equals, logbook.DropCounts{Unwritten: 3})
+}
--- a/common/program/program.go
+++ b/common/program/program.go
@@ -61,6 +61,7 @@
 // MainWithFile is like Main, but passes the path of the settings file to setup. It is for
 // programs that reload the settings file while they run.
 func MainWithFile(name string, cfg any, setup func(g *run.Group, file string) error) {
+	ignoreBrokenPipes()
 	os.Exit(start(name, os.Args[1:], os.Stdout, os.Stderr, cfg, setup))
 }
 
--- a/common/program/signals.go
+++ b/common/program/signals.go
@@ -11,6 +11,10 @@
 	"github.com/balsamlock/balsamlock/common/event"
 )
 
+// ignoreBrokenPipes makes writes to a standard output or error without a reader fail. By
+// default they end the process.
+func ignoreBrokenPipes() { signal.Ignore(syscall.SIGPIPE) }
+
 // addTermination adds an actor that ends the group on SIGTERM or SIGINT. The signals stay
 // handled until the process exits: a repeated one must not cut off a graceful stop.
 func addTermination(g *run.Group) {
