--- a/common/event/event.go
+++ b/common/event/event.go
@@ -29,6 +29,9 @@
 	// AcceptFailed reports that a connection couldn't be accepted, for example because
 	// the process has no file descriptors left.
 	AcceptFailed Name = "accept_failed"
+	// ListenFailed reports that an address can't be listened on, for example because
+	// another process has it.
+	ListenFailed Name = "listen_failed"
 	// Panic reports an unexpected error that was contained to one request or background
 	// loop.
 	Panic Name = "panic"
