program: Wait for a settings file that is being written

A program that started while its settings file was empty or half written exited with 3. It now waits for a file that ends early, and up to 10 s for an absent one.

--- a/common/program/program.go
+++ b/common/program/program.go
@@ -16,8 +16,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/oklog/run"
@@ -83,7 +85,11 @@
 		_, _ = fmt.Fprintln(stderr, name+": --settings FILE is required")
 		return ExitUsage
 	}
-	if err := settings.Load(opts.Settings, cfg); err != nil {
+	load := awaitSettings
+	if opts.CheckSettings {
+		load = func(file string, cfg any, _ io.Writer) error { return settings.Load(file, cfg) }
+	}
+	if err := load(opts.Settings, cfg, stderr); err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
 		return ExitSettings
 	}
@@ -96,6 +102,31 @@
 	return runGroup(func(g *run.Group) error { return setup(g, opts.Settings) })
 }
 
+const (
+	// absentTimeout is how long a program waits at its start for a settings file that does
+	// not exist. settingsPollInterval is the interval between reads.
+	absentTimeout        = 10 * time.Second
+	settingsPollInterval = 20 * time.Millisecond
+)
+
+// awaitSettings loads the settings file. The file may be replaced while the program starts:
+// it waits for one that is absent, for a limited time, or that ends early. Invalid settings
+// are returned as an error at once.
+func awaitSettings(file string, cfg any, stderr io.Writer) error {
+	reported := false
+	for start := time.Now(); ; time.Sleep(settingsPollInterval) {
+		err := settings.Load(file, cfg)
+		isAbsent := errors.Is(err, fs.ErrNotExist) && time.Since(start) < absentTimeout
+		if !isAbsent && !errors.Is(err, settings.ErrIncomplete) {
+			return err
+		}
+		if !reported {
+			reported = true
+			_, _ = fmt.Fprintf(stderr, "%v; waiting for the file\n", err)
+		}
+	}
+}
+
 func printUsage(err error, stdout, stderr io.Writer) int {
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
--- a/common/settings/settings.go
+++ b/common/settings/settings.go
@@ -35,8 +35,16 @@
 	Value string `json:"value"`
 	// Allowed describes the valid values.
 	Allowed string `json:"allowed"`
+	// endsEarly is set if the file contains only the beginning of an object, or nothing.
+	endsEarly bool
 }
 
+// ErrIncomplete matches the error for a file that ends early, as while it is written.
+var ErrIncomplete = errors.New("file ends early")
+
+// Is makes the problem of a file that ends early match ErrIncomplete.
+func (p Problem) Is(target error) bool { return p.endsEarly && target == ErrIncomplete }
+
 // Error returns the problem as one line of text.
 func (p Problem) Error() string {
 	return fmt.Sprintf("settings %s: field %s: value %s is not allowed: want %s", p.File, p.Field, p.Value, p.Allowed)
@@ -179,10 +187,11 @@
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
 		return Problem{
-			File:    file,
-			Field:   "(end of file)",
-			Value:   "JSON that ends early",
-			Allowed: "one whole JSON object",
+			File:      file,
+			Field:     "(end of file)",
+			Value:     "JSON that ends early",
+			Allowed:   "one whole JSON object",
+			endsEarly: true,
 		}
 	}
 	// encoding/json has no error type for unknown fields.
