ingress: Read on after the last response of a connection

Callers that send bytes after a request got a reset in the middle of a large response when the server closed the connection after it: the kernel resets a connection that is closed with unread bytes and drops what is not sent yet.

The server now ends its own direction and reads until the caller closes, for at most the timeout of a write.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -23,6 +23,8 @@
 	// lingerTimeout is how long the server continues to read after an error response,
 	// so that the caller can read the response before the connection is reset.
 	lingerTimeout = 200 * time.Millisecond
+	// maxLingerBytes limits what is read meanwhile.
+	maxLingerBytes = 1 << 20
 	// bodyChunkBytes is the size of the steps in which a body is read. For a chunked
 	// body, it is also the amount of buffer reserved for each step.
 	bodyChunkBytes = 16 << 10
@@ -39,6 +41,9 @@
 	writer  *bufio.Writer
 	// idle is set while no request is in progress.
 	idle atomic.Bool
+	// lingers is set if the last response may not have reached the caller when the
+	// connection is closed.
+	lingers bool
 	// reservedBytes is the number of bytes reserved for the body of the current
 	// request.
 	reservedBytes int64
@@ -211,13 +216,20 @@
 	w := newWriter(c, nil)
 	w.closeAfter = true
 	w.Respond(status, errorHeader(status), nil)
-	// Closing a connection with unread data resets it, which would discard a response
-	// that the caller hasn't read yet. Read on for a while instead.
-	_ = c.netConn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	if closer, ok := c.netConn.(interface{ CloseWrite() error }); ok {
-		_ = closer.CloseWrite()
-		_, _ = io.CopyN(io.Discard, c.netConn, int64(1<<20))
+	c.linger(lingerTimeout)
+}
+
+// linger ends the response and reads on until the caller closes the connection, for at
+// most d. Closing a connection with unread data resets it, which discards a response that
+// the caller hasn't received yet.
+func (c *conn) linger(d time.Duration) {
+	closer, ok := c.netConn.(interface{ CloseWrite() error })
+	if !ok {
+		return
 	}
+	_ = c.netConn.SetReadDeadline(time.Now().Add(d))
+	_ = closer.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.netConn, maxLingerBytes)
 }
 
 // errorHeader returns the header of an error response. With status 503, which means
@@ -254,6 +266,7 @@
 	}
 	_ = c.netConn.SetReadDeadline(pastDeadline)
 	disconnected := <-disconnects
+	c.lingers = !disconnected && w.closeAfter && !w.aborted
 	return !disconnected && !w.closeAfter && !w.aborted
 }
 
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -179,6 +179,9 @@
 	}()
 	for conn.serveNext() {
 	}
+	if conn.lingers {
+		conn.linger(s.deps.WriteTimeout)
+	}
 }
 
 // reserveBuffer reserves n bytes for a body. It returns false if the total would
--- /dev/null
+++ b/common/ingress/kernel_test.go
@@ -0,0 +1,49 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// respondWith returns a handler that responds with size bytes.
+func respondWith(size int) Handler {
+	return func(_ context.Context, w *Writer, _ Exchange) {
+		w.Respond(http.StatusOK, http.Header{}, bytes.Repeat([]byte("x"), size))
+	}
+}
+
+// dialSlowly opens a connection with small kernel buffers.
+func dialSlowly(c *qt.C, address string) net.Conn {
+	conn, _ := dial(c, address)
+	c.Assert(conn.(*net.TCPConn).SetReadBuffer(16<<10), qt.IsNil)
+	return conn
+}
+
+// Guards against responses that the kernel discards because the connection is closed while bytes of the
+// caller are unread: the line break that some callers send after a body, or further requests.
+func TestResponseSurvivesUnreadBytes(t *testing.T) {
+	c := qt.New(t)
+	const size = 3 << 20
+	server, address := startServer(c, respondWith(size))
+	server.Drain()
+	for range 5 {
+		conn := dialSlowly(c, address)
+		_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx\r\n")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		time.Sleep(50 * time.Millisecond)
+		raw, err := io.ReadAll(conn)
+		c.Check(err, qt.IsNil)
+		c.Check(len(raw) > size, qt.IsTrue, qt.Commentf("%d bytes", len(raw)))
+		_ = conn.Close()
+	}
+}
