ingress, platform: Limit writes to callers by part

A caller that reads a large response slowly, but steadily, was cut: the timeout of writes applied to the response as a whole. It applies to parts of 64 KiB now.

--- a/common/ingress/kernel_test.go
+++ b/common/ingress/kernel_test.go
@@ -47,3 +47,32 @@
 		_ = conn.Close()
 	}
 }
+
+// Guards against a large response that is cut although its caller goes on reading it.
+func TestSlowReaderGetsLargeResponse(t *testing.T) {
+	c := qt.New(t)
+	const size, rate = 12 << 20, 8 << 20
+	server := NewServer(Deps{
+		Handler:      respondWith(size),
+		Limits:       testLimits,
+		BufferBytes:  1 << 20,
+		WriteTimeout: 400 * time.Millisecond,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Close()
+	defer func() { _ = listener.Close() }()
+	conn := dialSlowly(c, listener.Addr().String())
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	read := int64(0)
+	for err == nil {
+		var n int64
+		n, err = io.CopyN(io.Discard, conn, rate/100)
+		read += n
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(read > size, qt.IsTrue, qt.Commentf("%d bytes", read))
+}
--- a/common/ingress/writer.go
+++ b/common/ingress/writer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -54,7 +55,7 @@
 	}
 	w.endHeader()
 	if w.request == nil || w.request.Method != http.MethodHead {
-		_, _ = w.conn.writer.Write(body)
+		w.writeParts(body)
 	}
 	if err := w.flush(); err != nil {
 		w.aborted = true
@@ -90,13 +91,27 @@
 	if w.chunked {
 		_, _ = w.conn.writer.WriteString(strconv.FormatInt(int64(len(part)), 16) + "\r\n")
 	}
-	_, _ = w.conn.writer.Write(part)
+	w.writeParts(part)
 	if w.chunked {
 		_, _ = w.conn.writer.WriteString("\r\n")
 	}
 	return w.flush()
 }
 
+// writePartBytes is the size of the parts in which a body is written. A caller must read
+// each of them within WriteTimeout.
+const writePartBytes = 64 << 10
+
+// writeParts writes to the buffered writer, which keeps the first error.
+func (w *Writer) writeParts(body []byte) {
+	for part := range slices.Chunk(body, writePartBytes) {
+		_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
+		if _, err := w.conn.writer.Write(part); err != nil {
+			return
+		}
+	}
+}
+
 // Finish completes a streamed response. Errors match ErrCallerDisconnected.
 func (w *Writer) Finish() error {
 	w.finished = true
