quotation: Keep odd requests from spoiling length predictions

After one stream without its token count, the first of its route, a stopping instance accepted streams that it cut a second later.

Cause: the regression of a route began with points derived from the first request's maximum. For an absent one they are infinite, and the predicted length is 0 from then on. Any odd maximum distorted the predictions likewise.

The prior points are now derived from the maximum of the request that is predicted and are not stored; an absent maximum is assumed to be large, and one above the engine's memory counts as that memory.

TestOddRequestDoesNotSpoilLengths fails before in its four variants.

--- a/quotation/length.go
+++ b/quotation/length.go
@@ -58,7 +58,10 @@
 	// nearly full engine. tokenTimeGain is the weight of the latest output in the
 	// moving average.
 	defaultTokenTime = 800 * time.Microsecond
-	tokenTimeGain    = 0.1
+	// unstatedMax is the maximum that is assumed for outputs whose callers state none. It
+	// is about the largest that callers state.
+	unstatedMax   = 10_000
+	tokenTimeGain = 0.1
 )
 
 // LengthPredictor predicts the output lengths of generations from callers' hints. Hints
@@ -83,10 +86,10 @@
 }
 
 // Predict returns the median output length and the output length to reserve memory for,
-// in tokens. A hint of 0 means that there is none; limit is the maximum output. If limit
-// is 0, Predict returns the hint for both.
+// in tokens. A hint of 0 means that there is none; limit is the maximum output, or 0 if it
+// is unknown. If only the hint is known, Predict returns it for both.
 func (l *LengthPredictor) Predict(route string, hint, limit int) (median, reserve int) {
-	if limit <= 0 {
+	if limit <= 0 && hint > 0 {
 		return hint, hint
 	}
 	out := OutputSpec{
@@ -100,7 +103,8 @@
 // OutputSpec holds what a request states about its output. Lengths are in tokens.
 type OutputSpec struct {
 	Route string
-	// Hint is the caller's estimate, or 0 if there is none. Max is the maximum.
+	// Hint is the caller's estimate, or 0 if there is none. Max is the maximum, or 0 if
+	// the caller doesn't state it.
 	Hint int
 	Max  int
 }
@@ -122,13 +126,17 @@
 // Needs returns the expected needs of a generation on an engine with memory for
 // kvTokens tokens.
 func (l *LengthPredictor) Needs(promptTokens int, out OutputSpec, kvTokens int) Needs {
+	if kvTokens > 0 {
+		// No output is larger than the engine's memory, whatever its caller states.
+		out.Max = min(out.Max, kvTokens)
+	}
 	median, reserve := l.Predict(out.Route, out.Hint, out.Max)
 	longest := l.quantile(out, longestDeviations)
 	return Needs{
 		Cost:     promptTokens + median,
 		Reserved: promptTokens + int(l.cfg.ReservedFraction*float64(reserve)),
 		Headroom: int(l.cfg.HeadroomFraction * float64(kvTokens)),
-		Duration: l.Duration(out.Route, out.Max, longest),
+		Duration: l.Duration(out.Route, longest),
 		Output:   median,
 	}
 }
@@ -138,96 +146,124 @@
 const longestDeviations = 2
 
 // quantile returns the output length at a number of standard deviations from the
-// median.
+// median, at least 1 and at most the maximum.
 func (l *LengthPredictor) quantile(out OutputSpec, deviations float64) int {
-	if out.Max <= 0 {
-		return out.Hint
+	limit := out.Max
+	if limit <= 0 {
+		limit = unstatedMax
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	center, deviation := l.route(out.Route, out.Max).predict(out.Hint)
-	return int(min(math.Exp(center+deviations*deviation), float64(out.Max)))
+	center, deviation := l.route(out.Route).predict(out.Hint, limit)
+	return max(1, int(min(math.Exp(center+deviations*deviation), float64(limit))))
 }
 
 // Duration returns the expected time to decode a number of tokens, by the recent
 // decoding speed of the route.
-func (l *LengthPredictor) Duration(route string, limit, tokens int) time.Duration {
+func (l *LengthPredictor) Duration(route string, tokens int) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Duration(tokens) * l.route(route, limit).tokenTime
+	return time.Duration(tokens) * l.route(route).tokenTime
 }
 
 // Observe records the length of a complete output and the time from its first to its
-// last token.
+// last token. Outputs whose maximum is not stated are not recorded.
 func (l *LengthPredictor) Observe(out OutputSpec, output int, took time.Duration) {
-	if out.Max > 0 && output > 0 && took > 0 {
-		l.mu.Lock()
-		r := l.route(out.Route, out.Max)
-		r.tokenTime += time.Duration(tokenTimeGain * float64(took/time.Duration(output)-r.tokenTime))
-		l.mu.Unlock()
-	}
-	if out.Hint <= 0 || out.Max <= 0 || output <= 0 {
+	if out.Max <= 0 || output <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.route(out.Route, out.Max).add(math.Log(float64(out.Hint)), math.Log(float64(output)), 1)
+	r := l.route(out.Route)
+	if took > 0 {
+		r.tokenTime += time.Duration(tokenTimeGain * float64(took/time.Duration(output)-r.tokenTime))
+	}
+	if out.Hint > 0 {
+		r.observe(math.Log(float64(out.Hint)), math.Log(float64(output)))
+	}
 }
 
-func (l *LengthPredictor) route(name string, limit int) *regression {
+func (l *LengthPredictor) route(name string) *regression {
 	r := l.routes[name]
 	if r == nil {
-		r = newRegression(math.Log(typicalFraction * float64(limit)))
+		r = &regression{
+			priorWeight: priorWeight,
+			tokenTime:   defaultTokenTime,
+		}
 		l.routes[name] = r
 	}
 	return r
 }
 
-// regression is a weighted least-squares regression line whose old points decay.
+// sums are the weighted sums of the points of a least-squares regression line.
+type sums struct{ n, x, y, xx, xy, yy float64 }
+
+// with returns the sums with one more point.
+func (s sums) with(x, y, weight float64) sums {
+	s.n += weight
+	s.x += weight * x
+	s.y += weight * y
+	s.xx += weight * x * x
+	s.xy += weight * x * y
+	s.yy += weight * y * y
+	return s
+}
+
+// decayed returns the sums with smaller weights.
+func (s sums) decayed(factor float64) sums {
+	return sums{
+		n:  s.n * factor,
+		x:  s.x * factor,
+		y:  s.y * factor,
+		xx: s.xx * factor,
+		xy: s.xy * factor,
+		yy: s.yy * factor,
+	}
+}
+
+// regression is a regression line whose old points decay. The prior points depend on the
+// maximum of the predicted output, not on that of earlier ones, so that an odd request
+// doesn't spoil the prediction of others.
 type regression struct {
-	n, x, y, xx, xy, yy float64
+	observed    sums
+	priorWeight float64
 	// tokenTime is the moving average of the time per token.
 	tokenTime time.Duration
 }
 
-// newRegression returns a regression with prior points that have priorSlope and
-// priorResidualVariance around the logarithm of a typical output.
-func newRegression(typical float64) *regression {
-	r := &regression{tokenTime: defaultTokenTime}
+func (r *regression) observe(x, y float64) {
+	if r.observed.n+r.priorWeight > lengthWindow {
+		const decay = 1 - 1.0/lengthWindow
+		r.observed = r.observed.decayed(decay)
+		r.priorWeight *= decay
+	}
+	r.observed = r.observed.with(x, y, 1)
+}
+
+// withPrior returns the observed points and prior ones that have priorSlope and
+// priorResidualVariance around the logarithm of an output that is typical for a maximum,
+// which must be greater than 0.
+func (r *regression) withPrior(limit int) sums {
+	typical := math.Log(typicalFraction * float64(limit))
 	hintOffset := math.Sqrt(priorHintVariance)
 	residual := math.Sqrt(priorResidualVariance)
+	all := r.observed
 	for _, dx := range []float64{-hintOffset, hintOffset} {
 		for _, dy := range []float64{-residual, residual} {
-			r.add(typical+dx, typical+priorSlope*dx+dy, priorWeight/4)
+			all = all.with(typical+dx, typical+priorSlope*dx+dy, r.priorWeight/4)
 		}
 	}
-	return r
-}
-
-func (r *regression) add(x, y, weight float64) {
-	if decay := 1 - weight/lengthWindow; r.n > lengthWindow {
-		r.n *= decay
-		r.x *= decay
-		r.y *= decay
-		r.xx *= decay
-		r.xy *= decay
-		r.yy *= decay
-	}
-	r.n += weight
-	r.x += weight * x
-	r.y += weight * y
-	r.xx += weight * x * x
-	r.xy += weight * x * y
-	r.yy += weight * y * y
+	return all
 }
 
 // predict returns the center and the standard deviation of the logarithm of the output
 // for a hint, or for all outputs if hint is 0.
-func (r *regression) predict(hint int) (center, deviation float64) {
-	meanX, meanY := r.x/r.n, r.y/r.n
-	varianceX := max(r.xx/r.n-meanX*meanX, math.SmallestNonzeroFloat64)
-	varianceY := r.yy/r.n - meanY*meanY
-	covariance := r.xy/r.n - meanX*meanY
+func (r *regression) predict(hint, limit int) (center, deviation float64) {
+	s := r.withPrior(limit)
+	meanX, meanY := s.x/s.n, s.y/s.n
+	varianceX := max(s.xx/s.n-meanX*meanX, math.SmallestNonzeroFloat64)
+	varianceY := s.yy/s.n - meanY*meanY
+	covariance := s.xy/s.n - meanX*meanY
 	if hint <= 0 {
 		return meanY, math.Sqrt(max(0, varianceY))
 	}
--- a/quotation/length_test.go
+++ b/quotation/length_test.go
@@ -48,7 +48,7 @@
 	c.Logf("prediction covers %d of %d with %d tokens; hint x 1.3 %d with %d", covered, n, reserved/n, coveredByHint, reservedByHint/n)
 	c.Assert(float64(covered)/float64(n) >= 0.85, qt.IsTrue)
 	c.Assert(covered > coveredByHint, qt.IsTrue)
-	c.Assert(lengths.Duration("survey", limit, 5000).Round(100*time.Millisecond), qt.Equals, 5*time.Second)
+	c.Assert(lengths.Duration("survey", 5000).Round(100*time.Millisecond), qt.Equals, 5*time.Second)
 }
 
 func TestNeeds(t *testing.T) {
@@ -83,3 +83,57 @@
 	c.Assert([]int{median, reserve}, qt.DeepEquals, []int{50, 50})
 	lengths.Observe(OutputSpec{Route: "survey"}, -1, 0)
 }
+
+// Guards against a request without a token count, or with an absurd one, that spoils the predictions for its
+// route.
+func TestOddRequestDoesNotSpoilLengths(t *testing.T) {
+	const limit, kvTokens = 9360, 85_000
+	usual := OutputSpec{
+		Route: "survey",
+		Hint:  5000,
+		Max:   limit,
+	}
+	observe := func(lengths *LengthPredictor) {
+		r := rand.New(rand.NewPCG(1, 2))
+		for range 20 {
+			hint, output := sampleOutput(r, limit)
+			lengths.Observe(OutputSpec{
+				Route: usual.Route,
+				Hint:  hint,
+				Max:   limit,
+			}, output, time.Duration(output)*time.Millisecond)
+		}
+	}
+	untouched := NewLengthPredictor(DefaultLengthConfig())
+	want := untouched.Needs(5000, usual, kvTokens)
+	observe(untouched)
+	wantLater := untouched.Needs(5000, usual, kvTokens)
+	for name, odd := range map[string]OutputSpec{
+		"without a maximum": {Route: usual.Route},
+		"only a hint": {
+			Route: usual.Route,
+			Hint:  700,
+		},
+		"maximum of 1": {
+			Route: usual.Route,
+			Hint:  1,
+			Max:   1,
+		},
+		"absurd maximum": {
+			Route: usual.Route,
+			Hint:  1 << 40,
+			Max:   1 << 40,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			lengths := NewLengthPredictor(DefaultLengthConfig())
+			needs := lengths.Needs(0, odd, kvTokens)
+			c.Check(needs.Reserved >= 0 && needs.Reserved <= kvTokens, qt.IsTrue, qt.Commentf("%+v", needs))
+			c.Check(needs.Output > 0 && needs.Duration > 0, qt.IsTrue, qt.Commentf("%+v", needs))
+			c.Check(lengths.Needs(5000, usual, kvTokens), qt.Equals, want)
+			observe(lengths)
+			c.Check(lengths.Needs(5000, usual, kvTokens), qt.Equals, wantLater)
+		})
+	}
+}
