crew: Ignore entries of earlier lives of a server

A write of a worker's earlier life that the store executed late made the draining worker live again. It got streams up to 2.65 s after its leaving had been acknowledged, and they were cut when it left.

Cause: Roster.Put replaced an entry by one of any other incarnation. It now ignores incarnations before the newest one that was registered under the name, also after its removal.

TestRosterIgnoresEarlierIncarnations fails before.

TestRosterNoticeOutlivesEntry asserted an empty list at its end only because an entry of an earlier incarnation had replaced the live one just before. It now asserts the list and the incarnation exactly; what it guards, a notice that comes before the entry of "b", is unchanged.

--- a/crew/notices_test.go
+++ b/crew/notices_test.go
@@ -76,7 +76,8 @@
 	unknown := liveServer("b", "10.0.0.2:1", 1)
 	c.Assert(r.MarkLeaving("b", 1), qt.IsTrue)
 	r.Put(unknown)
-	c.Assert(serverNames(r), qt.HasLen, 0, qt.Commentf("said before the entry was read"))
+	c.Assert(serverNames(r), qt.DeepEquals, []string{"a"}, qt.Commentf("b said so before its entry was read"))
+	c.Assert(r.Servers()[0].Incarnation, qt.Equals, uint64(2))
 }
 
 // Load: 195 instances that a server turned away at the same moment.
--- a/crew/roster.go
+++ b/crew/roster.go
@@ -21,10 +21,13 @@
 // immutable list.
 //
 // What a server says of itself holds for its incarnation, whether or not it is
-// registered: an entry that is removed and added again does not undo it.
+// registered: an entry that is removed and added again does not undo it. An incarnation
+// that has been succeeded does not come back: its entry may only have been written late.
 type Roster struct {
 	mu      sync.Mutex
 	entries map[string]entry
+	// newest holds the newest incarnations of servers, registered or not, by name.
+	newest map[string]newestIncarnation
 	list    atomic.Pointer[[]Server]
 	notices atomic.Pointer[notices]
 }
@@ -37,9 +40,18 @@
 	until time.Time
 }
 
+// newestIncarnation is the newest incarnation of a server and when it was last registered.
+type newestIncarnation struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // NewRoster returns an empty roster.
 func NewRoster() *Roster {
-	r := &Roster{entries: map[string]entry{}}
+	r := &Roster{
+		entries: map[string]entry{},
+		newest:  map[string]newestIncarnation{},
+	}
 	r.list.Store(&[]Server{})
 	r.notices.Store(&notices{})
 	return r
@@ -72,11 +84,16 @@
 }
 
 // Put stores the state of a server as given by the registry. A server that was reported
-// as leaving stays so until it is registered with another incarnation. Put reports
-// whether the entry has changed.
+// as leaving stays so until it is registered with a later incarnation. An entry of an
+// earlier incarnation than the newest one is ignored. Put reports whether the entry has
+// changed.
 func (r *Roster) Put(server Server) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if server.Incarnation < r.newest[server.Name].incarnation {
+		return false
+	}
+	r.noteNewestLocked(server)
 	old, known := r.entries[server.Name]
 	same := known && old.server.Incarnation == server.Incarnation && old.server.Address == server.Address
 	if same && old.server.State == StateLeaving || r.noticeOf(server).IsLeaving() {
@@ -97,6 +114,25 @@
 	return true
 }
 
+// noteNewestLocked records the incarnation of a registered server. Beyond maxNotices
+// servers, the one that was registered longest ago is forgotten.
+func (r *Roster) noteNewestLocked(server Server) {
+	r.newest[server.Name] = newestIncarnation{
+		incarnation: server.Incarnation,
+		at:          time.Now(),
+	}
+	if len(r.newest) <= maxNotices {
+		return
+	}
+	oldest := server.Name
+	for name, n := range r.newest {
+		if n.at.Before(r.newest[oldest].at) {
+			oldest = name
+		}
+	}
+	delete(r.newest, oldest)
+}
+
 // SameRegistration reports whether two servers are registered in the same way. Their loads
 // and notices don't count.
 func SameRegistration(a, b Server) bool {
--- a/crew/roster_test.go
+++ b/crew/roster_test.go
@@ -1,6 +1,7 @@
 package crew
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,6 +42,38 @@
 	c.Assert(serverNames(r), qt.DeepEquals, []string{"a"}, qt.Commentf("a new incarnation does"))
 }
 
+// Guards against a late write of a server's earlier life that makes it live again while it drains, or after it
+// has left.
+func TestRosterIgnoresEarlierIncarnations(t *testing.T) {
+	c := qt.New(t)
+	r := NewRoster()
+	r.Put(liveServer("a", "10.0.0.1:1", 1))
+	leaving := liveServer("a", "10.0.0.1:1", 2)
+	leaving.State = StateLeaving
+	r.Put(leaving)
+	c.Assert(r.Put(liveServer("a", "10.0.0.1:1", 1)), qt.IsFalse)
+	c.Assert(serverNames(r), qt.HasLen, 0, qt.Commentf("while it drains"))
+	found, _ := r.FindByAddress("10.0.0.1:1", "models")
+	c.Assert(found.Incarnation, qt.Equals, uint64(2))
+	r.Remove("a")
+	c.Assert(r.Put(liveServer("a", "10.0.0.1:1", 1)), qt.IsFalse)
+	c.Assert(serverNames(r), qt.HasLen, 0, qt.Commentf("after it has left"))
+	c.Assert(r.Put(liveServer("a", "10.0.0.1:1", 3)), qt.IsTrue)
+	c.Assert(serverNames(r), qt.DeepEquals, []string{"a"})
+}
+
+// The incarnations that a roster remembers are limited.
+func TestRosterForgetsOldestIncarnations(t *testing.T) {
+	c := qt.New(t)
+	r := NewRoster()
+	for n := range maxNotices + 10 {
+		name := fmt.Sprintf("s%d", n)
+		r.Put(liveServer(name, "10.0.0.1:1", 1))
+		r.Remove(name)
+	}
+	c.Assert(r.newest, qt.HasLen, maxNotices)
+}
+
 func TestRosterExpiry(t *testing.T) {
 	c := qt.New(t)
 	r := NewRoster()
