--- a/crew/roster.go
+++ b/crew/roster.go
@@ -27,7 +27,7 @@
 	mu      sync.Mutex
 	entries map[string]entry
 	// newest holds the newest incarnations of servers, registered or not, by name.
-	newest map[string]newestIncarnation
+	newest  map[string]newestIncarnation
 	list    atomic.Pointer[[]Server]
 	notices atomic.Pointer[notices]
 }
