firing: Log what is done with silent streams

The logs couldn't tell whether a silent stream was kept for lack of room, for lack of a retry, or moved. One line for each change of the verdict does.

--- a/common/event/event.go
+++ b/common/event/event.go
@@ -88,6 +88,8 @@
 	Placed Name = "placed"
 	// Attempt reports how an attempt of a generation ended.
 	Attempt Name = "attempt"
+	// StreamSilent reports what is done with a stream whose engine sends no tokens.
+	StreamSilent Name = "stream_silent"
 	// Call reports the server that a call is sent to.
 	Call Name = "call"
 	// CallFailed reports that a call failed at a server.
--- a/firing/stall.go
+++ b/firing/stall.go
@@ -6,6 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/phuslu/log"
+
+	"github.com/balsamlock/balsamlock/common/event"
 	"github.com/balsamlock/balsamlock/quotation"
 )
 
@@ -26,10 +29,12 @@
 	next      atomic.Int64
 	lastToken atomic.Int64
 
-	// mu guards timer and stopped.
+	// mu guards the fields below.
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// logged is the verdict of the last log line.
+	logged string
 }
 
 // stallCheckInterval is the interval between checks whether a silent stream can continue
@@ -77,23 +82,47 @@
 	case w.stopped:
 	case silence < w.stall:
 		w.timer.Reset(w.stall - silence)
-	case !w.attempt.g.req.Strict || silence >= maxStreamSilence || w.canMove():
+	case !w.attempt.g.req.Strict || silence >= maxStreamSilence:
+		w.log(silence, "ended")
 		w.cancel()
 	default:
+		obstacle := w.obstacle()
+		if obstacle == "" {
+			w.log(silence, "moved")
+			w.cancel()
+			return
+		}
+		w.log(silence, obstacle)
 		w.timer.Reset(stallCheckInterval)
 	}
 }
 
-// canMove reports whether another engine has free capacity for the stream and the retry
-// budget allows the move. If so, the move is taken from the budget.
-func (w *stallWatch) canMove() bool {
+// log logs what is done with the silent stream, unless the last line for it says the same.
+func (w *stallWatch) log(silence time.Duration, verdict string) {
+	if w.logged == verdict {
+		return
+	}
+	w.logged = verdict
+	g := w.attempt.g
+	log.Warn().Str(event.Key, string(event.StreamSilent)).Str(event.ID, g.req.ID).Int("try", g.tries).
+		Str("decode", w.attempt.plan.Decode.Name).Int64("events", w.next.Load()).Int64("silent_ms", silence.Milliseconds()).
+		Str("verdict", verdict).Msg("no tokens from the engine")
+}
+
+// obstacle returns why the stream can't continue elsewhere, or an empty string if another
+// engine has free capacity for it and the retry budget allows the move. The move has then
+// been taken from the budget.
+func (w *stallWatch) obstacle() string {
 	g := w.attempt.g
 	req := w.request
 	delivered := int(w.next.Load()) - w.firstIndex
 	req.PromptTokens += delivered
 	req.OutputTokens -= delivered
 	if _, ok := g.runner.deps.Placer.Place(req, time.Now()).(quotation.Run); !ok {
-		return false
+		return "kept_no_capacity"
+	}
+	if !g.prepayRetry() {
+		return "kept_no_retry"
 	}
-	return g.prepayRetry()
+	return ""
 }
