--- a/common/program/program.go
+++ b/common/program/program.go
@@ -1,6 +1,7 @@
 // Package program implements the main function of the long-running programs: command line
 // flags, the settings file, the log, and a run group whose actors are all stopped when one
-// of them returns.
+// of them returns. SIGTERM and SIGINT stop the group, once; SIGHUP and a standard output
+// without a reader never end a program.
 //
 // # Usage
 //
