ingress, platform: Answer unread requests at the end of a stop

Callers that opened a connection to a stopping instance just before its end, or sent a request on a kept one, got a reset instead of a response.

Cause: the end of a stop waited for requests that the process had read, and then closed all connections and the listener. The kernel receives connections and bytes before the process does, and resets those with unread bytes.

Server.CloseIdle, which nothing used, is gone.

FuzzRequests adds its connection to the server itself, because serveConn expects an added one.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -63,8 +63,7 @@
 func (c *conn) serveNext() bool {
 	limits := c.server.deps.Limits()
 	c.idle.Store(true)
-	_ = c.netConn.SetReadDeadline(time.Now().Add(limits.IdleTimeout))
-	if _, err := c.reader.Peek(1); err != nil {
+	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
 		return false
 	}
 	c.idle.Store(false)
@@ -88,6 +87,22 @@
 	return c.handle(x)
 }
 
+// awaitRequest waits for the first byte of a request.
+func (c *conn) awaitRequest(timeout time.Duration) error {
+	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
+	if c.server.finishing.Load() {
+		_ = c.netConn.SetReadDeadline(pastDeadline)
+	}
+	_, err := c.reader.Peek(1)
+	if isTimeout(err) && c.server.finishing.Load() {
+		// The wait may have ended although a request has arrived. A new deadline makes
+		// the next one read first.
+		_ = c.netConn.SetReadDeadline(time.Now().Add(lastRequestDelay))
+		_, err = c.reader.Peek(1)
+	}
+	return err
+}
+
 // readRequest reads one request. A status other than 0 is the error status to
 // respond with. If the status is 0 and the exchange has no request, the connection
 // was closed.
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -21,6 +21,7 @@
 //	...
 //	server.Drain()
 //	server.Interrupt(errStopping)
+//	server.Finish(timeout)
 //	server.Close()
 package ingress
 
@@ -87,14 +88,21 @@
 	deps     Deps
 	buffered atomic.Int64
 	draining atomic.Bool
-	closed   atomic.Bool
-	active   atomic.Int64
+	// finishing is set once Finish was called.
+	finishing atomic.Bool
+	closed    atomic.Bool
+	active    atomic.Int64
 	// requests is the parent of the contexts of all requests.
 	requests  context.Context
 	interrupt context.CancelCauseFunc
+	// done is closed by Close.
+	done      chan struct{}
+	closeOnce sync.Once
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	// mu guards the fields below.
+	mu        sync.Mutex
+	conns     map[*conn]struct{}
+	listeners map[net.Listener]struct{}
 }
 
 // NewServer returns a server.
@@ -104,7 +112,9 @@
 		deps:      deps,
 		requests:  requests,
 		interrupt: interrupt,
+		done:      make(chan struct{}),
 		conns:     map[*conn]struct{}{},
+		listeners: map[net.Listener]struct{}{},
 	}
 }
 
@@ -112,21 +122,72 @@
 // process has no file descriptors left.
 const acceptRetryDelay = 20 * time.Millisecond
 
+const (
+	// acceptPendingDelay is how long no connection must arrive before the listener is
+	// closed. After maxAcceptPending, minAcceptPendingDelay takes its place.
+	acceptPendingDelay    = 5 * time.Millisecond
+	maxAcceptPending      = 50 * time.Millisecond
+	minAcceptPendingDelay = 50 * time.Microsecond
+	// lastRequestDelay is how long Finish leaves an idle connection open for a request
+	// that is on the network.
+	lastRequestDelay = 20 * time.Millisecond
+	// finishPollInterval is the interval between checks for open connections.
+	finishPollInterval = 2 * time.Millisecond
+)
+
 // Serve accepts connections until l is closed, and then returns nil. Connections accepted
-// after Close are closed immediately.
+// after Close are closed immediately. After Finish, Serve closes l and returns when Close
+// is called.
 func (s *Server) Serve(l net.Listener) error {
-	for {
+	s.mu.Lock()
+	s.listeners[l] = struct{}{}
+	s.mu.Unlock()
+	for !s.finishing.Load() {
 		c, err := l.Accept()
 		switch {
 		case err == nil:
-			go s.serveConn(c)
+			s.startConn(c)
+		case s.finishing.Load():
 		case s.closed.Load() || errors.Is(err, net.ErrClosed):
+			s.removeListener(l)
 			return nil
 		default:
 			log.Warn().Str(event.Key, string(event.AcceptFailed)).Err(err).Msg("accept failed")
 			time.Sleep(acceptRetryDelay)
 		}
 	}
+	s.acceptPending(l)
+	s.removeListener(l)
+	<-s.done
+	return nil
+}
+
+func (s *Server) removeListener(l net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+}
+
+// acceptPending accepts the connections that the kernel has already accepted and closes
+// the listener. The kernel would reset them, although their callers have sent requests.
+func (s *Server) acceptPending(l net.Listener) {
+	defer func() { _ = l.Close() }()
+	d, ok := l.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return
+	}
+	delay := acceptPendingDelay
+	for start := time.Now(); !s.closed.Load(); {
+		_ = d.SetDeadline(time.Now().Add(delay))
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.startConn(c)
+		if time.Since(start) > maxAcceptPending {
+			delay = minAcceptPendingDelay
+		}
+	}
 }
 
 // Drain makes the server close each connection after its next response. Idle
@@ -140,9 +201,44 @@
 // handlers can still respond.
 func (s *Server) Interrupt(cause error) { s.interrupt(cause) }
 
+// Finish closes the listeners, and each connection after its next response or when it has
+// been idle for lastRequestDelay. Connections and requests that the kernel has already
+// received are served. Finish returns when all connections are closed, or after the
+// timeout.
+func (s *Server) Finish(timeout time.Duration) {
+	end := time.Now().Add(timeout)
+	s.draining.Store(true)
+	s.finishing.Store(true)
+	s.mu.Lock()
+	for l := range s.listeners {
+		if d, ok := l.(interface{ SetDeadline(t time.Time) error }); ok {
+			_ = d.SetDeadline(pastDeadline)
+			continue
+		}
+		_ = l.Close()
+	}
+	for c := range s.conns {
+		if c.idle.Load() {
+			_ = c.netConn.SetReadDeadline(pastDeadline)
+		}
+	}
+	s.mu.Unlock()
+	for s.isOpen() && time.Now().Before(end) {
+		time.Sleep(finishPollInterval)
+	}
+}
+
+// isOpen reports whether there are listeners or connections.
+func (s *Server) isOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.listeners)+len(s.conns) > 0
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.closed.Store(true)
+	s.closeOnce.Do(func() { close(s.done) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -150,37 +246,37 @@
 	}
 }
 
-// CloseIdle closes the connections that have no request in progress.
-func (s *Server) CloseIdle() {
+// addConn adds a connection, or closes it and returns nil if the server is closed.
+func (s *Server) addConn(netConn net.Conn) *conn {
+	c := newConn(s, netConn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for c := range s.conns {
-		if c.idle.Load() {
-			_ = c.netConn.Close()
-		}
+	if s.closed.Load() {
+		_ = netConn.Close()
+		return nil
 	}
+	s.conns[c] = struct{}{}
+	return c
 }
 
-func (s *Server) serveConn(c net.Conn) {
-	conn := newConn(s, c)
-	s.mu.Lock()
-	if s.closed.Load() {
-		s.mu.Unlock()
-		_ = c.Close()
-		return
+// startConn adds a connection and serves it in a goroutine.
+func (s *Server) startConn(netConn net.Conn) {
+	if c := s.addConn(netConn); c != nil {
+		go s.serveConn(c)
 	}
-	s.conns[conn] = struct{}{}
-	s.mu.Unlock()
+}
+
+func (s *Server) serveConn(c *conn) {
 	defer func() {
 		s.mu.Lock()
-		delete(s.conns, conn)
+		delete(s.conns, c)
 		s.mu.Unlock()
-		_ = c.Close()
+		_ = c.netConn.Close()
 	}()
-	for conn.serveNext() {
+	for c.serveNext() {
 	}
-	if conn.lingers {
-		conn.linger(s.deps.WriteTimeout)
+	if c.lingers {
+		c.linger(s.deps.WriteTimeout)
 	}
 }
 
--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -328,7 +328,7 @@
 		serverConn, callerConn := net.Pipe()
 		done := make(chan struct{})
 		go func() {
-			server.serveConn(serverConn)
+			server.serveConn(server.addConn(serverConn))
 			close(done)
 		}()
 		go func() { _, _ = io.Copy(io.Discard, callerConn) }()
--- a/common/ingress/kernel_test.go
+++ b/common/ingress/kernel_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -76,3 +77,43 @@
 	c.Assert(err, qt.Equals, io.EOF)
 	c.Assert(read > size, qt.IsTrue, qt.Commentf("%d bytes", read))
 }
+
+// Guards against requests that get no response because the server ends when they have arrived but are not read
+// yet, on new connections or on kept ones.
+func TestFinishAnswersUnreadRequests(t *testing.T) {
+	c := qt.New(t)
+	const n = 60
+	server, address := startServer(c, respondWith(10))
+	var conns []net.Conn
+	for i := range n {
+		conn, r := dial(c, address)
+		if i%2 == 0 {
+			_, body := roundTrip(c, conn, r, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			c.Assert(body, qt.HasLen, 10)
+		}
+		conns = append(conns, conn)
+	}
+	idle, _ := dial(c, address)
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+	}
+	for range n {
+		conn, _ := dial(c, address)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		conns = append(conns, conn)
+	}
+	server.Finish(500 * time.Millisecond)
+	_, err := net.Dial("tcp", address)
+	c.Check(err, qt.ErrorIs, syscall.ECONNREFUSED)
+	server.Close()
+	raw, err := io.ReadAll(idle)
+	c.Check(err, qt.IsNil)
+	c.Check(raw, qt.HasLen, 0)
+	for i, conn := range conns {
+		raw, err := io.ReadAll(conn)
+		c.Check(err, qt.IsNil, qt.Commentf("connection %d", i))
+		c.Check(bytes.HasSuffix(raw, []byte("\r\n\r\nxxxxxxxxxx")), qt.IsTrue, qt.Commentf("connection %d: %q", i, raw))
+	}
+}
