--- a/common/event/event.go
+++ b/common/event/event.go
@@ -35,6 +35,8 @@
 	// Panic reports an unexpected error that was contained to one request or background
 	// loop.
 	Panic Name = "panic"
+	// Resources reports that the memory peak of the process has grown.
+	Resources Name = "resources"
 	// Library reports a message that a library has logged by itself.
 	Library Name = "library"
 )
