ingress: Go on writing to callers that read steadily but slowly

A write of 64 KiB has a timeout, but Linux reports a socket as writable only when a third of its send buffer (4 MB here) is free. A caller that frees less than that within the timeout was cut although it made progress. The kernel would have accepted a write all the time, so that one more write after a timeout tells a slow caller from one that reads nothing.

A caller that reads nothing is still cut.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -52,11 +52,15 @@
 }
 
 func newConn(s *Server, c net.Conn) *conn {
+	out := progressWriter{
+		conn:    c,
+		timeout: s.deps.WriteTimeout,
+	}
 	return &conn{
 		server:  s,
 		netConn: c,
 		reader:  bufio.NewReaderSize(c, initialBufferBytes),
-		writer:  bufio.NewWriterSize(c, initialBufferBytes),
+		writer:  bufio.NewWriterSize(out, initialBufferBytes),
 	}
 }
 
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -77,7 +77,7 @@
 	// connections. A request that would exceed it is refused with status 503 and
 	// not passed to the handler.
 	BufferBytes int64
-	// WriteTimeout is the timeout of each write to a caller.
+	// WriteTimeout is how long a caller may read nothing of its response.
 	WriteTimeout time.Duration
 	// Rejected is called for each request that was answered with an error before it
 	// was read completely. It may be nil.
--- a/common/ingress/writer.go
+++ b/common/ingress/writer.go
@@ -11,7 +11,7 @@
 )
 
 // ErrCallerDisconnected is returned if a write to the caller fails: the caller has
-// disconnected, or it has not read the response within WriteTimeout.
+// disconnected, or it has read nothing for WriteTimeout.
 var ErrCallerDisconnected = errors.New("caller disconnected")
 
 // Writer writes one response. It isn't safe for concurrent use.
@@ -104,14 +104,12 @@
 	return w.flush()
 }
 
-// writePartBytes is the size of the parts in which a body is written. A caller must read
-// each of them within WriteTimeout.
+// writePartBytes is the size of the parts in which a body is written.
 const writePartBytes = 64 << 10
 
 // writeParts writes to the buffered writer, which keeps the first error.
 func (w *Writer) writeParts(body []byte) {
 	for part := range slices.Chunk(body, writePartBytes) {
-		_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
 		if _, err := w.conn.writer.Write(part); err != nil {
 			return
 		}
@@ -140,7 +138,6 @@
 }
 
 func (w *Writer) writeHeader(status int, header http.Header) {
-	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
 	_, _ = fmt.Fprintf(w.conn.writer, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
 	_ = header.WriteSubset(w.conn.writer, framingHeaders)
 	if w.closeAfter {
@@ -164,7 +161,6 @@
 func (w *Writer) endHeader() { _, _ = w.conn.writer.WriteString("\r\n") }
 
 func (w *Writer) flush() error {
-	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
 	err := w.conn.writer.Flush()
 	if err == nil {
 		return nil
@@ -174,3 +170,34 @@
 	}
 	return w.err
 }
+
+// lastWriteTimeout is the timeout of the write that follows a timeout.
+const lastWriteTimeout = 20 * time.Millisecond
+
+// progressWriter writes to a connection and fails if nothing can be written for timeout.
+type progressWriter struct {
+	conn    net.Conn
+	timeout time.Duration
+}
+
+func (w progressWriter) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		n, err := w.writeWithin(w.timeout, p[written:])
+		written += n
+		if n == 0 && isTimeout(err) {
+			// The kernel reports a socket as writable only when a third of its buffer is
+			// free, and the timeout may have passed while this process was suspended.
+			n, err = w.writeWithin(lastWriteTimeout, p[written:])
+			written += n
+		}
+		if !isTimeout(err) || n == 0 {
+			return written, err
+		}
+	}
+}
+
+func (w progressWriter) writeWithin(timeout time.Duration, p []byte) (int, error) {
+	_ = w.conn.SetWriteDeadline(time.Now().Add(timeout))
+	return w.conn.Write(p)
+}
