ingress: Send 100 Continue on connections that were idle

A request with "Expect: 100-continue" got no interim response on a connection that had been idle for longer than the write timeout since its last response. A caller that waits for it never sends its body.

The interim response was written directly to the connection, on which the write deadline of the earlier response had passed, and the error was ignored. It now goes through the writer that sets a deadline for each write.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -127,7 +127,8 @@
 		return Exchange{}, http.StatusBadRequest
 	}
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
-		_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = c.writer.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
+		_ = c.writer.Flush()
 	}
 	body, status := c.readBody(req, limits)
 	if status != 0 {
--- a/common/ingress/slowreader_test.go
+++ b/common/ingress/slowreader_test.go
@@ -68,3 +68,18 @@
 		c.Fatal("the write goes on")
 	}
 }
+
+// Guards against a caller that is not told to send its body because an earlier response set a deadline.
+func TestContinueIsSentOnIdleConnection(t *testing.T) {
+	c := qt.New(t)
+	conn, r := dial(c, startSlowServer(c, echo(&recorder{})))
+	resp, _ := roundTrip(c, conn, r, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	time.Sleep(2 * slowWriteTimeout)
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\n")
+	c.Assert(err, qt.IsNil)
+	_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+	line, err := r.ReadString('\n')
+	c.Check(err, qt.IsNil)
+	c.Check(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+}
