platform: Divide one budget of memory among what an instance holds

The limits of bodies and of responses were fractions of the memory limit read as MiB, with no bound on their sum with anything else.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -72,7 +72,7 @@
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
 	defer func() {
-		c.server.buffered.Add(-c.reservedBytes)
+		c.server.deps.Bodies.Return(c.reservedBytes)
 		c.reservedBytes = 0
 	}()
 	x, status := c.readRequest(limits)
@@ -218,9 +218,9 @@
 	}
 }
 
-// reserveBody reserves n bytes of the server's buffer for the current body.
+// reserveBody reserves n bytes for the current body.
 func (c *conn) reserveBody(n int64) bool {
-	if !c.server.reserveBuffer(n) {
+	if !c.server.deps.Bodies.Take(n) {
 		return false
 	}
 	c.reservedBytes += n
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -37,6 +37,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/recovery"
 )
 
@@ -73,10 +74,10 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
-	// BufferBytes limits the total size of the bodies in memory over all
-	// connections. A request that would exceed it is refused with status 503 and
-	// not passed to the handler.
-	BufferBytes int64
+	// Bodies limits the total size of the bodies in memory over all connections. A
+	// request that would exceed it is refused with status 503 and not passed to the
+	// handler.
+	Bodies *memory.Budget
 	// WriteTimeout is the timeout of each write to a caller.
 	WriteTimeout time.Duration
 	// Rejected is called for each request that was answered with an error before it
@@ -87,7 +88,6 @@
 // Server is an HTTP/1.1 server.
 type Server struct {
 	deps     Deps
-	buffered atomic.Int64
 	draining atomic.Bool
 	// finishing is set once Finish was called.
 	finishing atomic.Bool
@@ -309,13 +309,3 @@
 		c.linger(s.deps.WriteTimeout)
 	}
 }
-
-// reserveBuffer reserves n bytes for a body. It returns false if the total would
-// exceed BufferBytes.
-func (s *Server) reserveBuffer(n int64) bool {
-	if s.buffered.Add(n) <= s.deps.BufferBytes {
-		return true
-	}
-	s.buffered.Add(-n)
-	return false
-}
--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/common/memory"
 )
 
 func testLimits() Limits {
@@ -56,7 +58,7 @@
 	server := NewServer(Deps{
 		Handler:      handler,
 		Limits:       testLimits,
-		BufferBytes:  1 << 20,
+		Bodies:       memory.NewBudget(1 << 20),
 		WriteTimeout: 5 * time.Second,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -204,7 +206,7 @@
 		c.Assert(err, qt.Equals, io.EOF)
 	}
 	c.Assert(requests.all(), qt.HasLen, 0)
-	c.Assert(server.buffered.Load(), qt.Equals, int64(0))
+	c.Assert(server.deps.Bodies.Used(), qt.Equals, int64(0))
 }
 
 func TestDisconnectCancelsContext(t *testing.T) {
@@ -294,7 +296,7 @@
 		<-release
 		w.Respond(http.StatusOK, http.Header{}, nil)
 	})
-	server.deps.BufferBytes = 1000
+	server.deps.Bodies = memory.NewBudget(1000)
 	post := "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n" + strings.Repeat("b", 900)
 	first, r1 := dial(c, address)
 	_, err := io.WriteString(first, post)
@@ -322,7 +324,7 @@
 		server := NewServer(Deps{
 			Handler:      echo(&requests),
 			Limits:       testLimits,
-			BufferBytes:  1 << 20,
+			Bodies:       memory.NewBudget(1 << 20),
 			WriteTimeout: time.Second,
 		})
 		serverConn, callerConn := net.Pipe()
--- a/common/ingress/kernel_test.go
+++ b/common/ingress/kernel_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/common/memory"
 )
 
 // respondWith returns a handler that responds with size bytes.
@@ -59,7 +61,7 @@
 	server := NewServer(Deps{
 		Handler:      respondWith(size),
 		Limits:       testLimits,
-		BufferBytes:  1 << 20,
+		Bodies:       memory.NewBudget(1 << 20),
 		WriteTimeout: 400 * time.Millisecond,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -144,7 +146,7 @@
 	server := NewServer(Deps{
 		Handler:      respondWith(10),
 		Limits:       testLimits,
-		BufferBytes:  1 << 20,
+		Bodies:       memory.NewBudget(1 << 20),
 		WriteTimeout: 5 * time.Second,
 	})
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
