common/ingress: Hold buffers only while bytes are read or written

A kept connection without a request held a read and a write buffer of 4 KB each, a lingering one the 8 KB of io.Discard besides, and a body was copied once more when it was complete.

The read buffer starts with 2 KB, write buffers come from a pool until the next flush, lingering connections discard through a small array, and a body is handed over as it was read. A chunked body is charged for the capacity of its buffer.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -17,17 +17,20 @@
 )
 
 const (
-	// initialBufferBytes is the initial size of the read and write buffers of a
-	// connection. The read buffer grows with the header, up to the header limit.
-	initialBufferBytes = 4 << 10
+	// initialBufferBytes is the initial size of the read buffer of a connection. It grows
+	// with the header, up to the header limit.
+	initialBufferBytes = 2 << 10
+	// connectionBytes is the memory that a connection without a request occupies at most.
+	connectionBytes = 8 << 10
 	// lingerTimeout is how long the server continues to read after an error response,
 	// so that the caller can read the response before the connection is reset.
 	lingerTimeout = 200 * time.Millisecond
 	// maxLingerBytes limits what is read meanwhile.
 	maxLingerBytes = 1 << 20
-	// bodyChunkBytes is the size of the steps in which a body is read. For a chunked
-	// body, it is also the amount of buffer reserved for each step.
+	// bodyChunkBytes is the size of the steps in which a body is read.
 	bodyChunkBytes = 16 << 10
+	// growthFactor is the capacity of the buffer of a chunked body over its size.
+	growthFactor = 2
 )
 
 // pastDeadline is a read deadline in the past, which unblocks a pending read.
@@ -38,7 +41,6 @@
 	server  *Server
 	netConn net.Conn
 	reader  *bufio.Reader
-	writer  *bufio.Writer
 	// idle is set while no request is in progress.
 	idle atomic.Bool
 	// lingers is set if the last response may not have reached the caller when the
@@ -56,7 +58,6 @@
 		server:  s,
 		netConn: c,
 		reader:  bufio.NewReaderSize(c, initialBufferBytes),
-		writer:  bufio.NewWriterSize(c, initialBufferBytes),
 	}
 }
 
@@ -195,11 +196,12 @@
 		if !c.reserveBody(req.ContentLength) {
 			return nil, http.StatusServiceUnavailable
 		}
-		body.Grow(int(req.ContentLength))
+		// ReadFrom needs free space at the end, too.
+		body.Grow(int(req.ContentLength) + bytes.MinRead)
 	}
 	for {
 		_ = c.netConn.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-		if req.ContentLength < 0 && !c.reserveBody(bodyChunkBytes) {
+		if req.ContentLength < 0 && !c.reserveBody(growthFactor*bodyChunkBytes) {
 			return nil, http.StatusServiceUnavailable
 		}
 		n, err := io.CopyN(&body, req.Body, bodyChunkBytes)
@@ -207,7 +209,7 @@
 		case body.Len() > limits.BodyBytes:
 			return nil, http.StatusRequestEntityTooLarge
 		case errors.Is(err, io.EOF) && (req.ContentLength < 0 || int64(body.Len()) == req.ContentLength):
-			return append([]byte{}, body.Bytes()...), 0
+			return body.Bytes(), 0
 		case isTimeout(err):
 			return nil, http.StatusRequestTimeout
 		case errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, io.EOF):
@@ -246,7 +248,26 @@
 	}
 	_ = c.netConn.SetReadDeadline(time.Now().Add(d))
 	_ = closer.CloseWrite()
-	_, _ = io.CopyN(io.Discard, c.netConn, maxLingerBytes)
+	_ = discard(c.reader, maxLingerBytes)
+}
+
+var errTooLong = errors.New("more bytes than allowed")
+
+// discard reads from r up to its end. It returns an error if the end is not within limit bytes.
+func discard(r io.Reader, limit int) error {
+	// Many connections may wait here at the same time.
+	var part [256]byte
+	for limit > 0 {
+		n, err := r.Read(part[:])
+		limit -= n
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return errTooLong
 }
 
 // errorHeader returns the header of an error response. With status 503, which means
--- /dev/null
+++ b/common/ingress/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package ingress
+
+const raceFactor = 1
--- a/common/ingress/writer.go
+++ b/common/ingress/writer.go
@@ -1,12 +1,14 @@
 package ingress
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -14,9 +16,17 @@
 // disconnected, or it has not read the response within WriteTimeout.
 var ErrCallerDisconnected = errors.New("caller disconnected")
 
+// writeBufferBytes is the size of a write buffer.
+const writeBufferBytes = 4 << 10
+
+// writeBuffers holds the write buffers that no response uses.
+var writeBuffers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferBytes) }}
+
 // Writer writes one response. It isn't safe for concurrent use.
 type Writer struct {
 	conn *conn
+	// pending is the buffer for what is not flushed yet, or nil.
+	pending *bufio.Writer
 	// request is nil if the request couldn't be read.
 	request *http.Request
 	chunked bool
@@ -90,16 +100,16 @@
 // Write sends a part of the body to the caller without buffering. Errors match
 // ErrCallerDisconnected.
 func (w *Writer) Write(part []byte) error {
-	if len(part) == 0 {
-		return nil
+	if len(part) == 0 || w.err != nil {
+		return w.err
 	}
-	// The buffered writer keeps the first error, and flush returns it.
+	// The buffer keeps the first error, and flush returns it.
 	if w.chunked {
-		_, _ = w.conn.writer.WriteString(strconv.FormatInt(int64(len(part)), 16) + "\r\n")
+		_, _ = w.buffer().WriteString(strconv.FormatInt(int64(len(part)), 16) + "\r\n")
 	}
 	w.writeParts(part)
 	if w.chunked {
-		_, _ = w.conn.writer.WriteString("\r\n")
+		_, _ = w.buffer().WriteString("\r\n")
 	}
 	return w.flush()
 }
@@ -108,11 +118,11 @@
 // each of them within WriteTimeout.
 const writePartBytes = 64 << 10
 
-// writeParts writes to the buffered writer, which keeps the first error.
+// writeParts writes to the buffer, which keeps the first error.
 func (w *Writer) writeParts(body []byte) {
 	for part := range slices.Chunk(body, writePartBytes) {
 		_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
-		if _, err := w.conn.writer.Write(part); err != nil {
+		if _, err := w.buffer().Write(part); err != nil {
 			return
 		}
 	}
@@ -121,8 +131,11 @@
 // Finish completes a streamed response. Errors match ErrCallerDisconnected.
 func (w *Writer) Finish() error {
 	w.finished = true
+	if w.err != nil {
+		return w.err
+	}
 	if w.chunked {
-		_, _ = w.conn.writer.WriteString("0\r\n\r\n")
+		_, _ = w.buffer().WriteString("0\r\n\r\n")
 	}
 	return w.flush()
 }
@@ -133,6 +146,7 @@
 func (w *Writer) Abort() {
 	w.finished = true
 	w.aborted = true
+	w.releaseBuffer()
 	if tcp, ok := w.conn.netConn.(*net.TCPConn); ok && w.started {
 		_ = tcp.SetLinger(0)
 	}
@@ -141,8 +155,8 @@
 
 func (w *Writer) writeHeader(status int, header http.Header) {
 	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
-	_, _ = fmt.Fprintf(w.conn.writer, "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
-	_ = header.WriteSubset(w.conn.writer, framingHeaders)
+	_, _ = fmt.Fprintf(w.buffer(), "HTTP/1.1 %03d %s\r\n", status, http.StatusText(status))
+	_ = header.WriteSubset(w.buffer(), framingHeaders)
 	if w.closeAfter {
 		w.writeField("Connection", "close")
 	}
@@ -158,14 +172,33 @@
 }
 
 func (w *Writer) writeField(name, value string) {
-	_, _ = w.conn.writer.WriteString(name + ": " + value + "\r\n")
+	_, _ = w.buffer().WriteString(name + ": " + value + "\r\n")
+}
+
+func (w *Writer) endHeader() { _, _ = w.buffer().WriteString("\r\n") }
+
+// buffer returns the buffer for what is not flushed yet.
+func (w *Writer) buffer() *bufio.Writer {
+	if w.pending == nil {
+		w.pending = writeBuffers.Get().(*bufio.Writer)
+		w.pending.Reset(w.conn.netConn)
+	}
+	return w.pending
 }
 
-func (w *Writer) endHeader() { _, _ = w.conn.writer.WriteString("\r\n") }
+// releaseBuffer discards what is not flushed yet.
+func (w *Writer) releaseBuffer() {
+	if w.pending != nil {
+		w.pending.Reset(nil)
+		writeBuffers.Put(w.pending)
+		w.pending = nil
+	}
+}
 
 func (w *Writer) flush() error {
 	_ = w.conn.netConn.SetWriteDeadline(time.Now().Add(w.conn.server.deps.WriteTimeout))
-	err := w.conn.writer.Flush()
+	err := w.buffer().Flush()
+	w.releaseBuffer()
 	if err == nil {
 		return nil
 	}
