--- a/common/ingress/slowreader_test.go
+++ b/common/ingress/slowreader_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/common/memory"
 )
 
 const slowWriteTimeout = 400 * time.Millisecond
@@ -19,7 +21,7 @@
 	server := NewServer(Deps{
 		Handler:      handler,
 		Limits:       testLimits,
-		BufferBytes:  1 << 20,
+		Bodies:       memory.NewBudget(1 << 20),
 		WriteTimeout: slowWriteTimeout,
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
