quotation, crew: Sort pointers and names instead of servers

Cause: a goroutine keeps a stack of its largest call until the next collection. Ranking sorted structs that hold a whole server, publishing the roster did the same in the goroutine of each exchange, and reading a counter copied its history of 2 KB. pdqsort's functions then have frames of 1 to 3.6 KB each, and they call each other.

--- a/crew/roster.go
+++ b/crew/roster.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -302,12 +301,12 @@
 
 func (r *Roster) publishLocked() {
 	list := make([]Server, 0, len(r.entries))
-	for _, e := range r.entries {
+	for _, name := range slices.Sorted(maps.Keys(r.entries)) {
+		e := r.entries[name]
 		if e.server.State == StateLive {
 			e.server.PausedUntil = r.noticeOf(e.server).PausedUntil
 			list = append(list, e.server)
 		}
 	}
-	slices.SortFunc(list, func(a, b Server) int { return strings.Compare(a.Name, b.Name) })
 	r.list.Store(&list)
 }
--- a/quotation/load.go
+++ b/quotation/load.go
@@ -41,7 +41,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	value := c.value.Load()
-	for _, step := range c.history {
+	for i := range c.history {
+		step := &c.history[i]
 		if step.at.After(when) {
 			value -= step.delta
 		}
--- a/quotation/services.go
+++ b/quotation/services.go
@@ -99,12 +99,13 @@
 // differently.
 func (r *ServiceRanker) Rank(servers []crew.Server, dataCentre, region, id string, now time.Time) []crew.Server {
 	type candidate struct {
-		server crew.Server
+		server *crew.Server
 		score  float64
 	}
 	seed := xxhash.Sum64String(id)
 	candidates := make([]candidate, 0, len(servers))
-	for i, server := range servers {
+	for i := range servers {
+		server := &servers[i]
 		score := float64(r.load(server.Name).expectedLatency(server.Slots, now))
 		score += float64(roundTripTime(server, dataCentre, region))
 		if now.Before(server.ColdUntil) {
@@ -118,7 +119,7 @@
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
 	ranked := make([]crew.Server, 0, len(candidates))
 	for _, c := range candidates {
-		ranked = append(ranked, c.server)
+		ranked = append(ranked, *c.server)
 	}
 	return ranked
 }
@@ -147,7 +148,7 @@
 	return first
 }
 
-func roundTripTime(server crew.Server, dataCentre, region string) time.Duration {
+func roundTripTime(server *crew.Server, dataCentre, region string) time.Duration {
 	switch {
 	case server.DataCentre == dataCentre:
 		return 0
