common/ingress: Refuse requests for which there is no memory

A request now takes an estimate of that from a budget when its header is read, before its body is, and is refused with 503 and Retry-After otherwise. Nothing of it was passed on, so "not run" is true. The connection stays open unless the request is long or further ones were sent ahead, so that callers need no new one.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,13 +19,6 @@
 	// initialBufferBytes is the initial size of the read buffer of a connection. It grows
 	// with the header, up to the header limit.
 	initialBufferBytes = 2 << 10
-	// connectionBytes is the memory that a connection without a request occupies at most.
-	connectionBytes = 8 << 10
-	// lingerTimeout is how long the server continues to read after an error response,
-	// so that the caller can read the response before the connection is reset.
-	lingerTimeout = 200 * time.Millisecond
-	// maxLingerBytes limits what is read meanwhile.
-	maxLingerBytes = 1 << 20
 	// bodyChunkBytes is the size of the steps in which a body is read.
 	bodyChunkBytes = 16 << 10
 	// growthFactor is the capacity of the buffer of a chunked body over its size.
@@ -48,9 +40,9 @@
 	lingers bool
 	// lingering is set while the server only waits for the caller to close the connection.
 	lingering atomic.Bool
-	// reservedBytes is the number of bytes reserved for the body of the current
-	// request.
-	reservedBytes int64
+	// requestCharge and bodyCharge are the charges for the current request.
+	requestCharge int64
+	bodyCharge    int64
 }
 
 func newConn(s *Server, c net.Conn) *conn {
@@ -72,16 +64,14 @@
 	c.idle.Store(false)
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
-	defer func() {
-		c.server.deps.Bodies.Return(c.reservedBytes)
-		c.reservedBytes = 0
-	}()
-	x, status := c.readRequest(limits)
-	if status != 0 {
-		if rejected := c.server.deps.Rejected; rejected != nil {
-			rejected(c.netConn.RemoteAddr().String(), status)
+	defer c.returnCharges()
+	x, rejection := c.readRequest(limits)
+	if rejection.Status != 0 {
+		c.reportRejection(rejection)
+		if x.Request != nil {
+			return c.refuse(x.Request, rejection.Status, limits)
 		}
-		c.respondError(status)
+		c.respondError(rejection.Status)
 		return false
 	}
 	if x.Request == nil {
@@ -90,6 +80,13 @@
 	return c.handle(x)
 }
 
+// returnCharges returns what the current request was charged.
+func (c *conn) returnCharges() {
+	c.server.admission.endRequest(c.requestCharge)
+	c.server.deps.Bodies.Return(c.bodyCharge)
+	c.requestCharge, c.bodyCharge = 0, 0
+}
+
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest(timeout time.Duration) error {
 	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
@@ -106,39 +103,60 @@
 	return err
 }
 
-// readRequest reads one request. A status other than 0 is the error status to
-// respond with. If the status is 0 and the exchange has no request, the connection
-// was closed.
-func (c *conn) readRequest(limits Limits) (Exchange, int) {
+// readRequest reads one request. If the rejection has a status, it is to be responded with;
+// the connection can be used afterwards if the exchange has a request. Without a status and a
+// request, the connection was closed.
+func (c *conn) readRequest(limits Limits) (Exchange, Rejection) {
 	_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	header, status := c.peekHeader(limits.HeaderBytes)
 	if status != 0 || header == nil {
-		return Exchange{}, status
+		return Exchange{}, Rejection{Status: status}
 	}
 	arrived := time.Now()
+	headerBytes := len(header)
 	if !isUnambiguous(header) {
-		return Exchange{}, http.StatusBadRequest
+		return Exchange{}, Rejection{Status: http.StatusBadRequest}
 	}
 	req, err := http.ReadRequest(c.reader)
 	if err != nil {
-		return Exchange{}, http.StatusBadRequest
+		return Exchange{}, Rejection{Status: http.StatusBadRequest}
 	}
-	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
+	x := Exchange{
+		Request: req,
+		Target:  req.RequestURI,
+		Arrived: arrived,
+	}
+	c.requestCharge = c.server.admission.admitRequest(headerBytes)
+	if c.requestCharge == 0 {
+		return x, Rejection{
+			Status:  http.StatusServiceUnavailable,
+			Lacking: ResourceRequests,
+			Header:  req.Header,
+		}
+	}
+	if expectsContinue(req) {
 		_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	body, status := c.readBody(req, limits)
 	if status != 0 {
-		return Exchange{}, status
+		rejection := Rejection{
+			Status: status,
+			Header: req.Header,
+		}
+		if status == http.StatusServiceUnavailable {
+			rejection.Lacking = ResourceBodies
+		}
+		return Exchange{}, rejection
 	}
 	if body == nil {
-		return Exchange{}, 0
+		return Exchange{}, Rejection{}
 	}
-	return Exchange{
-		Request: req,
-		Body:    body,
-		Target:  req.RequestURI,
-		Arrived: arrived,
-	}, 0
+	x.Body = body
+	return x, Rejection{}
+}
+
+func expectsContinue(req *http.Request) bool {
+	return strings.EqualFold(req.Header.Get("Expect"), "100-continue")
 }
 
 // peekHeader waits for the complete header and returns it without consuming it. A
@@ -225,61 +243,10 @@
 	if !c.server.deps.Bodies.Take(n) {
 		return false
 	}
-	c.reservedBytes += n
+	c.bodyCharge += n
 	return true
 }
 
-// respondError sends an error response to a request that was not read completely.
-// The connection can't be used afterwards.
-func (c *conn) respondError(status int) {
-	w := newWriter(c, nil)
-	w.closeAfter = true
-	w.Respond(status, errorHeader(status), nil)
-	c.linger(lingerTimeout)
-}
-
-// linger ends the response and reads on until the caller closes the connection, for at
-// most d. Closing a connection with unread data resets it, which discards a response that
-// the caller hasn't received yet.
-func (c *conn) linger(d time.Duration) {
-	closer, ok := c.netConn.(interface{ CloseWrite() error })
-	if !ok {
-		return
-	}
-	_ = c.netConn.SetReadDeadline(time.Now().Add(d))
-	_ = closer.CloseWrite()
-	_ = discard(c.reader, maxLingerBytes)
-}
-
-var errTooLong = errors.New("more bytes than allowed")
-
-// discard reads from r up to its end. It returns an error if the end is not within limit bytes.
-func discard(r io.Reader, limit int) error {
-	// Many connections may wait here at the same time.
-	var part [256]byte
-	for limit > 0 {
-		n, err := r.Read(part[:])
-		limit -= n
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return errTooLong
-}
-
-// errorHeader returns the header of an error response. With status 503, which means
-// that the buffer for bodies is full, it contains a Retry-After.
-func errorHeader(status int) http.Header {
-	header := http.Header{}
-	if status == http.StatusServiceUnavailable {
-		header.Set("Retry-After", "0.5")
-	}
-	return header
-}
-
 // handle calls the handler and reports whether the connection can be used for another
 // request. While the handler runs, a pending read detects a disconnect of the caller
 // and cancels the context.
@@ -297,7 +264,7 @@
 		disconnects <- disconnected
 	}()
 	w := newWriter(c, x.Request)
-	w.closeAfter = x.Request.Close || !x.Request.ProtoAtLeast(1, 1) || c.server.draining.Load()
+	w.closeAfter = c.closesAfter(x.Request)
 	c.callHandler(ctx, w, x)
 	if !w.finished {
 		w.Abort()
@@ -308,42 +275,14 @@
 	return !disconnected && !w.closeAfter && !w.aborted
 }
 
+// closesAfter reports whether the connection must be closed after the response to a request.
+func (c *conn) closesAfter(req *http.Request) bool {
+	return req.Close || !req.ProtoAtLeast(1, 1) || c.server.draining.Load()
+}
+
 // callHandler calls the handler. If it panics, the connection is closed without a complete
 // response, which doesn't state whether the request was run.
 func (c *conn) callHandler(ctx context.Context, w *Writer, x Exchange) {
 	defer recovery.Contain("handle request", func(error) { w.Abort() })
 	c.server.deps.Handler(ctx, w, x)
 }
-
-// isUnambiguous reports whether all parsers agree on where the message with this
-// header ends. It requires at most one Content-Length, of digits only, or one
-// "Transfer-Encoding: chunked", but not both. Folded lines, bare CR or LF, NUL
-// bytes and white space in or around field names are not allowed.
-func isUnambiguous(header []byte) bool {
-	lines := strings.Split(strings.TrimSuffix(string(header), "\r\n\r\n"), "\r\n")
-	lengths, encodings := 0, 0
-	for _, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.ContainsAny(name, " \t") || strings.ContainsAny(line, "\n\r\x00") {
-			return false
-		}
-		switch strings.ToLower(name) {
-		case "content-length":
-			lengths++
-			if !isContentLength(strings.Trim(value, " \t")) {
-				return false
-			}
-		case "transfer-encoding":
-			encodings++
-			if !strings.EqualFold(strings.Trim(value, " \t"), "chunked") {
-				return false
-			}
-		}
-	}
-	return lengths+encodings <= 1 && !strings.ContainsAny(lines[0], "\n\r\x00")
-}
-
-func isContentLength(s string) bool {
-	_, err := strconv.ParseUint(s, 10, 62)
-	return err == nil && !strings.HasPrefix(s, "+")
-}
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -8,6 +8,7 @@
 //
 //   - rejects every message with ambiguous framing and closes the connection,
 //   - reads the whole body before it calls the handler,
+//   - refuses what exceeds the budgets of memory, before it is passed to a handler,
 //   - cancels the context of a request if its caller disconnects,
 //   - can abort a response so that the caller doesn't take it for complete.
 //
@@ -74,21 +75,25 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// Requests is the memory for requests in progress. A request for which it has no room is
+	// refused with status 503 and not passed to the handler. Nil means no limit.
+	Requests *memory.Budget
 	// Bodies limits the total size of the bodies in memory over all connections. A
 	// request that would exceed it is refused with status 503 and not passed to the
-	// handler.
+	// handler. Nil means no limit.
 	Bodies *memory.Budget
 	// WriteTimeout is the timeout of each write to a caller.
 	WriteTimeout time.Duration
-	// Rejected is called for each request that was answered with an error before it
-	// was read completely. It may be nil.
-	Rejected func(remote string, status int)
+	// Rejected is called for each request that was answered with an error and not passed
+	// to the handler. It may be nil.
+	Rejected func(r Rejection)
 }
 
 // Server is an HTTP/1.1 server.
 type Server struct {
-	deps     Deps
-	draining atomic.Bool
+	deps      Deps
+	admission *admission
+	draining  atomic.Bool
 	// finishing is set once Finish was called.
 	finishing atomic.Bool
 	closed    atomic.Bool
@@ -108,9 +113,11 @@
 
 // NewServer returns a server.
 func NewServer(deps Deps) *Server {
+	deps.Bodies = orUnlimited(deps.Bodies)
 	requests, interrupt := context.WithCancelCause(context.Background())
 	return &Server{
 		deps:      deps,
+		admission: newAdmission(deps),
 		requests:  requests,
 		interrupt: interrupt,
 		done:      make(chan struct{}),
--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -349,7 +349,7 @@
 func TestPanicOutsideHandlerEndsOneConnection(t *testing.T) {
 	c := qt.New(t)
 	server, address := startServer(c, echo(&recorder{}))
-	server.deps.Rejected = func(string, int) { panic("unexpected") }
+	server.deps.Rejected = func(Rejection) { panic("unexpected") }
 	conn, r := dial(c, address)
 	_, err := io.WriteString(conn, "odd\r\n\r\n")
 	c.Assert(err, qt.IsNil)
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -63,6 +63,7 @@
 	CodeOverloaded     Code = "overloaded"
 	CodeNoServer       Code = "no_server"
 	CodeQuarantined    Code = "quarantined"
+	CodeNoMemory       Code = "no_memory"
 	CodeShuttingDown   Code = "shutting_down"
 	CodeNotReady       Code = "not_ready"
 	CodeLogUnavailable Code = "log_unavailable"
