common/ingress: Limit the memory of connections and of their headers

Each connection takes its cost from a budget, and the growth of its read buffer is charged until the buffer shrinks again after the request. If none is idle, a new connection is accepted to read one header, answer it with 503 and Retry-After and close; 64 at the same time, and others wait in the kernel's queue until one of these ends. So the server goes on accepting, and what it refuses was not run.

--- a/common/ingress/admission.go
+++ b/common/ingress/admission.go
@@ -15,6 +15,9 @@
 	requestBytes = 32 << 10
 	// headerCopies is the number of copies of its header that a request in progress holds.
 	headerCopies = 4
+	// maxRefusing is the number of connections beyond the limits that are accepted at the same
+	// time to refuse a request each.
+	maxRefusing = 64
 )
 
 // Resource is what a request was refused for the lack of.
@@ -22,8 +25,10 @@
 
 // Resources.
 const (
-	ResourceRequests Resource = "requests"
-	ResourceBodies   Resource = "bodies"
+	ResourceConnections Resource = "connections"
+	ResourceHeaders     Resource = "headers"
+	ResourceRequests    Resource = "requests"
+	ResourceBodies      Resource = "bodies"
 )
 
 // Rejection is a request that was answered with an error and not passed to the handler.
@@ -37,16 +42,79 @@
 	Header http.Header
 }
 
-// admission decides which requests a server holds at the same time. It is safe for concurrent
-// use.
+// verdict is the decision on a new connection.
+type verdict int
+
+// Verdicts.
+const (
+	// verdictServe is for a connection that is served. endConn must be called when it is closed.
+	verdictServe verdict = iota
+	// verdictRefuse is for a connection on which one request is refused. endRefusal must be
+	// called when it is closed.
+	verdictRefuse
+	// verdictWait is for a connection that must wait until others are closed.
+	verdictWait
+)
+
+// admission decides which connections and requests a server holds at the same time. It is safe
+// for concurrent use.
 type admission struct {
-	requests *memory.Budget
+	connections *memory.Budget
+	requests    *memory.Budget
+	// slots and refusing count connections instead of bytes.
+	slots    *memory.Budget
+	refusing *memory.Budget
 }
 
 func newAdmission(deps Deps) *admission {
-	return &admission{requests: orUnlimited(deps.Requests)}
+	slots := orUnlimited(nil)
+	if deps.MaxConnections > 0 {
+		slots = memory.NewBudget(int64(deps.MaxConnections))
+	}
+	return &admission{
+		connections: orUnlimited(deps.Connections),
+		requests:    orUnlimited(deps.Requests),
+		slots:       slots,
+		refusing:    memory.NewBudget(maxRefusing),
+	}
 }
 
+// admitConn decides on a new connection. It calls makeRoom if the limits are reached, which may
+// end other connections.
+func (a *admission) admitConn(makeRoom func()) verdict {
+	if a.takeConn() {
+		return verdictServe
+	}
+	makeRoom()
+	switch {
+	case a.takeConn():
+		return verdictServe
+	case a.refusing.Take(1):
+		return verdictRefuse
+	}
+	return verdictWait
+}
+
+func (a *admission) takeConn() bool {
+	if !a.slots.Take(1) {
+		return false
+	}
+	if !a.connections.Take(connectionBytes) {
+		a.slots.Return(1)
+		return false
+	}
+	return true
+}
+
+// endConn ends a connection that was served.
+func (a *admission) endConn() {
+	a.slots.Return(1)
+	a.connections.Return(connectionBytes)
+}
+
+// endRefusal ends a connection on which a request was refused.
+func (a *admission) endRefusal() { a.refusing.Return(1) }
+
 func orUnlimited(b *memory.Budget) *memory.Budget {
 	if b == nil {
 		return memory.NewBudget(math.MaxInt64)
--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -33,8 +33,16 @@
 	server  *Server
 	netConn net.Conn
 	reader  *bufio.Reader
-	// idle is set while no request is in progress.
+	// idle is set while the connection waits for the first byte of a request. Who unsets it
+	// decides what becomes of the connection.
 	idle atomic.Bool
+	// idleSince is the start of the wait as nanoseconds since the start of the server.
+	idleSince atomic.Int64
+	// end ends the charge for the connection. ended is set once it was called.
+	end   func()
+	ended atomic.Bool
+	// headerCharge is the charge for the part of the read buffer above its initial size.
+	headerCharge int64
 	// lingers is set if the last response may not have reached the caller when the
 	// connection is closed.
 	lingers bool
@@ -45,23 +53,41 @@
 	bodyCharge    int64
 }
 
-func newConn(s *Server, c net.Conn) *conn {
+func newConn(s *Server, c net.Conn, end func()) *conn {
 	return &conn{
 		server:  s,
 		netConn: c,
+		end:     end,
 		reader:  bufio.NewReaderSize(c, initialBufferBytes),
 	}
 }
 
+// serve serves requests until the connection can't be used any more.
+func (c *conn) serve() {
+	defer c.releaseReadBuffer()
+	for c.serveNext() {
+	}
+	if c.lingers {
+		c.lingering.Store(true)
+		c.linger(c.server.deps.WriteTimeout)
+	}
+}
+
+// endCharge ends the charge for the connection.
+func (c *conn) endCharge() {
+	if !c.ended.Swap(true) {
+		c.end()
+	}
+}
+
 // serveNext serves one request and reports whether the connection can be used for
 // another one.
 func (c *conn) serveNext() bool {
 	limits := c.server.deps.Limits()
-	c.idle.Store(true)
-	if err := c.awaitRequest(limits.IdleTimeout); err != nil {
+	c.shrinkReadBuffer()
+	if c.reader.Buffered() == 0 && !c.awaitRequest(limits.IdleTimeout) {
 		return false
 	}
-	c.idle.Store(false)
 	c.server.active.Add(1)
 	defer c.server.active.Add(-1)
 	defer c.returnCharges()
@@ -87,9 +113,13 @@
 	c.requestCharge, c.bodyCharge = 0, 0
 }
 
-// awaitRequest waits for the first byte of a request.
-func (c *conn) awaitRequest(timeout time.Duration) error {
-	_ = c.netConn.SetReadDeadline(time.Now().Add(timeout))
+// awaitRequest waits for the first byte of a request. It returns false if the connection was
+// closed meanwhile.
+func (c *conn) awaitRequest(timeout time.Duration) bool {
+	now := time.Now()
+	c.idleSince.Store(int64(now.Sub(c.server.started)))
+	c.idle.Store(true)
+	_ = c.netConn.SetReadDeadline(now.Add(timeout))
 	if c.server.finishing.Load() {
 		_ = c.netConn.SetReadDeadline(pastDeadline)
 	}
@@ -100,7 +130,7 @@
 		_ = c.netConn.SetReadDeadline(time.Now().Add(lastRequestDelay))
 		_, err = c.reader.Peek(1)
 	}
-	return err
+	return c.idle.CompareAndSwap(true, false) && err == nil
 }
 
 // readRequest reads one request. If the rejection has a status, it is to be responded with;
@@ -110,7 +140,11 @@
 	_ = c.netConn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
 	header, status := c.peekHeader(limits.HeaderBytes)
 	if status != 0 || header == nil {
-		return Exchange{}, Rejection{Status: status}
+		rejection := Rejection{Status: status}
+		if status == http.StatusServiceUnavailable {
+			rejection.Lacking = ResourceHeaders
+		}
+		return Exchange{}, rejection
 	}
 	arrived := time.Now()
 	headerBytes := len(header)
@@ -165,33 +199,64 @@
 func (c *conn) peekHeader(limit int) (header []byte, status int) {
 	for size := 1; ; {
 		buffered, err := c.reader.Peek(max(size, c.reader.Buffered()))
-		if end := bytes.Index(buffered, []byte("\r\n\r\n")); end >= 0 {
+		if end := bytes.Index(buffered, []byte(headerEnd)); end >= 0 {
 			if end > limit {
 				return nil, http.StatusRequestHeaderFieldsTooLarge
 			}
-			return buffered[:end+4], 0
+			return buffered[:end+len(headerEnd)], 0
 		}
 		switch {
+		case len(buffered) >= limit+len(headerEnd):
+			return nil, http.StatusRequestHeaderFieldsTooLarge
 		case errors.Is(err, bufio.ErrBufferFull):
 			// The new reader returns the buffered bytes first.
-			c.growReadBuffer()
+			if !c.growReadBuffer(limit + len(headerEnd)) {
+				return nil, http.StatusServiceUnavailable
+			}
 			continue
 		case isTimeout(err):
 			return nil, http.StatusRequestTimeout
 		case err != nil:
 			return nil, 0
-		case len(buffered) > limit:
-			return nil, http.StatusRequestHeaderFieldsTooLarge
 		}
 		size = len(buffered) + 1
 	}
 }
 
-// growReadBuffer doubles the read buffer.
-func (c *conn) growReadBuffer() {
+// headerEnd ends a header.
+const headerEnd = "\r\n\r\n"
+
+// growReadBuffer doubles the read buffer, up to limit bytes. It returns false if there is no
+// memory for it.
+func (c *conn) growReadBuffer(limit int) bool {
+	size := min(2*c.reader.Size(), limit)
+	charge := int64(size - c.reader.Size())
+	connections := c.server.admission.connections
+	if !connections.Take(charge) {
+		c.server.makeRoom()
+		if !connections.Take(charge) {
+			return false
+		}
+	}
+	c.headerCharge += charge
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	unread := bytes.Clone(buffered)
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(unread), c.netConn), 2*c.reader.Size())
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(unread), c.netConn), size)
+	return true
+}
+
+// shrinkReadBuffer replaces an empty read buffer that has grown by one of the initial size.
+func (c *conn) shrinkReadBuffer() {
+	if c.headerCharge > 0 && c.reader.Buffered() == 0 {
+		c.reader = bufio.NewReaderSize(c.netConn, initialBufferBytes)
+		c.releaseReadBuffer()
+	}
+}
+
+// releaseReadBuffer ends the charge for a read buffer that has grown.
+func (c *conn) releaseReadBuffer() {
+	c.server.admission.connections.Return(c.headerCharge)
+	c.headerCharge = 0
 }
 
 func isTimeout(err error) bool {
--- /dev/null
+++ b/common/ingress/evict_test.go
@@ -0,0 +1,179 @@
+package ingress
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/common/memory"
+)
+
+const getRequest = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+
+func TestLongestIdleConnectionsAreClosedFirst(t *testing.T) {
+	c := qt.New(t)
+	var idle []idleConn
+	for _, since := range []time.Duration{5, 3, 9, 1, 7} {
+		idle = append(idle, idleConn{since: since})
+	}
+	var got []time.Duration
+	for _, conn := range longestIdle(idle, 2, 6) {
+		got = append(got, conn.since)
+	}
+	c.Check(got, qt.DeepEquals, []time.Duration{1, 3})
+	c.Check(longestIdle(idle[:1], 2, 0), qt.HasLen, 0)
+}
+
+func TestNewConnectionsAreServedRefusedOrWait(t *testing.T) {
+	c := qt.New(t)
+	connections := memory.NewBudget(10 * connectionBytes)
+	a := newAdmission(Deps{
+		Connections:    connections,
+		MaxConnections: 2,
+	})
+	rooms := 0
+	admit := func() verdict { return a.admitConn(func() { rooms++ }) }
+	c.Check(admit(), qt.Equals, verdictServe)
+	c.Check(admit(), qt.Equals, verdictServe)
+	c.Check(rooms, qt.Equals, 0)
+	for range maxRefusing {
+		c.Assert(admit(), qt.Equals, verdictRefuse)
+	}
+	c.Check(admit(), qt.Equals, verdictWait)
+	c.Check(connections.Used(), qt.Equals, int64(2*connectionBytes))
+	c.Check(a.admitConn(a.endConn), qt.Equals, verdictServe, qt.Commentf("room was made"))
+	a.endRefusal()
+	c.Check(admit(), qt.Equals, verdictRefuse)
+}
+
+// dialKept opens a connection, and sends a request on it if request is set.
+func dialKept(c *qt.C, address string, request bool) (net.Conn, *bufio.Reader) {
+	conn, r := dial(c, address)
+	if request {
+		resp, _ := roundTrip(c, conn, r, getRequest)
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	}
+	return conn, r
+}
+
+// Guards against connections whose number grows with the callers that keep them.
+func TestIdleConnectionMakesRoomForNewCaller(t *testing.T) {
+	c := qt.New(t)
+	const n = 4
+	server, address := startBudgetedServer(c, Deps{
+		Handler:        respondWith(10),
+		MaxConnections: n,
+	})
+	oldest, oldestReader := dialKept(c, address, true)
+	time.Sleep(2 * evictInterval)
+	for range n - 1 {
+		dialKept(c, address, true)
+	}
+	eventually(c, func() bool { return server.Connections() == n })
+	time.Sleep(minEvictIdle)
+	dialKept(c, address, true)
+	_, err := oldestReader.ReadByte()
+	c.Check(err, qt.Equals, io.EOF)
+	_ = oldest.Close()
+	eventually(c, func() bool { return server.Connections() == n })
+}
+
+// Guards against new callers that get no answer while all connections are in use, and against a server that stops
+// accepting then.
+func TestConnectionBeyondTheLimitIsRefused(t *testing.T) {
+	c := qt.New(t)
+	const n = 5
+	for name, deps := range map[string]Deps{
+		"memory": {Connections: memory.NewBudget(n * connectionBytes)},
+		"number": {MaxConnections: n},
+	} {
+		c.Run(name, func(c *qt.C) {
+			handler := newBlocker()
+			deps.Handler = handler.handle
+			server, address := startBudgetedServer(c, deps)
+			var accepted []*bufio.Reader
+			for range n {
+				conn, r := dial(c, address)
+				_, err := io.WriteString(conn, getRequest)
+				c.Assert(err, qt.IsNil)
+				accepted = append(accepted, r)
+			}
+			eventually(c, func() bool { return len(handler.all()) == n })
+			// Connections without a request, which occupy what is left to refuse requests.
+			for range 2 * maxRefusing {
+				conn, _ := dial(c, address)
+				defer func() { _ = conn.Close() }()
+			}
+			for range 3 {
+				conn, r := dial(c, address)
+				resp, _ := roundTrip(c, conn, r, getRequest)
+				c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+				c.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.5")
+				c.Check(resp.Close, qt.IsTrue)
+				_ = conn.Close()
+			}
+			c.Check(server.Connections() <= n+maxRefusing, qt.IsTrue)
+			c.Check(handler.all(), qt.HasLen, n)
+			close(handler.release)
+			for _, r := range accepted {
+				resp, err := http.ReadResponse(r, nil)
+				c.Assert(err, qt.IsNil)
+				_ = resp.Body.Close()
+				c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+			}
+		})
+	}
+}
+
+// Guards against headers that never end and that occupy more memory with each connection.
+func TestGrowingHeadersStayWithinTheBudget(t *testing.T) {
+	c := qt.New(t)
+	const n, size = 40, 15 << 10
+	budget := memory.NewBudget(n*connectionBytes + 3*size)
+	server, address := startBudgetedServer(c, Deps{
+		Handler:     respondWith(10),
+		Connections: budget,
+	})
+	grow := func(conn net.Conn) {
+		_, _ = io.WriteString(conn, "GET /a HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("x", size))
+	}
+	refused := 0
+	for range n {
+		conn, r := dial(c, address)
+		grow(conn)
+		_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if resp, err := http.ReadResponse(r, nil); err == nil {
+			c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			_ = resp.Body.Close()
+			refused++
+		}
+		c.Check(budget.Used() <= budget.Limit(), qt.IsTrue)
+	}
+	c.Check(refused > n/2, qt.IsTrue, qt.Commentf("%d refused", refused))
+	server.Close()
+	eventually(c, func() bool { return budget.Used() == 0 })
+}
+
+func TestReadBufferShrinksAfterLargeHeader(t *testing.T) {
+	c := qt.New(t)
+	budget := memory.NewBudget(1 << 20)
+	_, address := startBudgetedServer(c, Deps{
+		Handler:     respondWith(10),
+		Connections: budget,
+	})
+	conn, r := dial(c, address)
+	for range 3 {
+		resp, body := roundTrip(c, conn, r, "GET /a HTTP/1.1\r\nHost: a\r\nX-Long: "+strings.Repeat("x", 15<<10)+"\r\n\r\n")
+		c.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		c.Check(body, qt.HasLen, 10)
+		eventually(c, func() bool { return budget.Used() == connectionBytes })
+	}
+	_ = conn.Close()
+	eventually(c, func() bool { return budget.Used() == 0 })
+}
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -75,6 +75,12 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
+	// Connections is the memory for connections and for headers that are being read. If it has
+	// no room, connections that have been idle longest are closed, and otherwise requests on
+	// new connections are refused with status 503. Nil means no limit.
+	Connections *memory.Budget
+	// MaxConnections limits the number of connections in the same way. 0 means no limit.
+	MaxConnections int
 	// Requests is the memory for requests in progress. A request for which it has no room is
 	// refused with status 503 and not passed to the handler. Nil means no limit.
 	Requests *memory.Budget
@@ -93,6 +99,9 @@
 type Server struct {
 	deps      Deps
 	admission *admission
+	started   time.Time
+	// evictedAt is when connections were last closed to make room, as nanoseconds since started.
+	evictedAt atomic.Int64
 	draining  atomic.Bool
 	// finishing is set once Finish was called.
 	finishing atomic.Bool
@@ -118,6 +127,7 @@
 	return &Server{
 		deps:      deps,
 		admission: newAdmission(deps),
+		started:   time.Now(),
 		requests:  requests,
 		interrupt: interrupt,
 		done:      make(chan struct{}),
@@ -126,6 +136,10 @@
 	}
 }
 
+// acceptWaitInterval is the interval between attempts to accept a connection for which there is no
+// room.
+const acceptWaitInterval = 5 * time.Millisecond
+
 // acceptRetryDelay is the delay after a failed accept, for example because the
 // process has no file descriptors left.
 const acceptRetryDelay = 20 * time.Millisecond
@@ -281,38 +295,53 @@
 	}
 }
 
-// addConn adds a connection, or closes it and returns nil if the server is closed.
-func (s *Server) addConn(netConn net.Conn) *conn {
-	c := newConn(s, netConn)
+// addConn adds a connection whose end is reported by end. If the server is closed, it closes the
+// connection and returns nil.
+func (s *Server) addConn(netConn net.Conn, end func()) *conn {
+	c := newConn(s, netConn, end)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed.Load() {
 		_ = netConn.Close()
+		c.endCharge()
 		return nil
 	}
 	s.conns[c] = struct{}{}
 	return c
 }
 
-// startConn adds a connection and serves it in a goroutine.
+// startConn serves a connection in a goroutine, as soon as there is room for it.
 func (s *Server) startConn(netConn net.Conn) {
-	if c := s.addConn(netConn); c != nil {
-		go s.serveConn(c)
+	for !s.closed.Load() {
+		switch s.admission.admitConn(s.makeRoom) {
+		case verdictServe:
+			s.start(netConn, (*conn).serve, s.admission.endConn)
+			return
+		case verdictRefuse:
+			s.start(netConn, (*conn).refuseNext, s.admission.endRefusal)
+			return
+		case verdictWait:
+			time.Sleep(acceptWaitInterval)
+		}
 	}
+	_ = netConn.Close()
 }
 
-func (s *Server) serveConn(c *conn) {
+// start runs serve for a connection in a goroutine.
+func (s *Server) start(netConn net.Conn, serve func(c *conn), end func()) {
+	if c := s.addConn(netConn, end); c != nil {
+		go s.serveConn(c, serve)
+	}
+}
+
+func (s *Server) serveConn(c *conn, serve func(c *conn)) {
 	defer recovery.Contain("serve connection", func(error) {})
 	defer func() {
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
 		_ = c.netConn.Close()
+		c.endCharge()
 	}()
-	for c.serveNext() {
-	}
-	if c.lingers {
-		c.lingering.Store(true)
-		c.linger(s.deps.WriteTimeout)
-	}
+	serve(c)
 }
--- a/common/ingress/ingress_test.go
+++ b/common/ingress/ingress_test.go
@@ -330,7 +330,7 @@
 		serverConn, callerConn := net.Pipe()
 		done := make(chan struct{})
 		go func() {
-			server.serveConn(server.addConn(serverConn))
+			server.serveConn(server.addConn(serverConn, func() {}), (*conn).serve)
 			close(done)
 		}()
 		go func() { _, _ = io.Copy(io.Discard, callerConn) }()
--- a/common/ingress/refuse.go
+++ b/common/ingress/refuse.go
@@ -18,6 +18,9 @@
 	lingerTimeout = 200 * time.Millisecond
 	// maxLingerBytes limits what is read meanwhile.
 	maxLingerBytes = 1 << 20
+	// refusedHeaderTimeout is the timeout from the start of a connection whose request is to be
+	// refused to the end of its header.
+	refusedHeaderTimeout = 300 * time.Millisecond
 	// maxRefusedBody is the size of a body that is read so that the connection of a refused
 	// request can be used again.
 	maxRefusedBody = 16 << 10
@@ -31,6 +34,27 @@
 	}
 }
 
+// refuseNext refuses one request. Its header is read for the log if it fits in the initial buffer
+// and arrives soon.
+func (c *conn) refuseNext() {
+	_ = c.netConn.SetReadDeadline(time.Now().Add(refusedHeaderTimeout))
+	rejection := Rejection{
+		Status:  http.StatusServiceUnavailable,
+		Lacking: ResourceConnections,
+	}
+	header, status := c.peekHeader(initialBufferBytes - len(headerEnd))
+	switch {
+	case status == 0 && header == nil:
+		return
+	case status == 0 && isUnambiguous(header):
+		if req, err := http.ReadRequest(c.reader); err == nil {
+			rejection.Header = req.Header
+		}
+	}
+	c.reportRejection(rejection)
+	c.respondError(rejection.Status)
+}
+
 // refuse responds to a request whose body was not read, and reports whether the connection can be
 // used for another one. It can't if the request is long or if the caller has sent further
 // requests already, which would be refused, too.
