platform: Charge requests to servers to the memory budget

Cause: a request to a server holds a goroutine, a connection with two more, buffers and a header, also for the 50 ms after its client has left, and for each hedge. None of it was in a budget.

Each request now takes its cost before it is sent and returns it when its goroutine has ended and its response is closed. Without memory nothing is sent: the client's request is refused as not run with Retry-After, unless its stream has begun, which waits. That counts neither against the server nor as a retry.

--- a/common/memory/budget.go
+++ b/common/memory/budget.go
@@ -14,7 +14,14 @@
 //	defer bodies.Return(n)
 package memory
 
-import "sync/atomic"
+import (
+	"errors"
+	"sync/atomic"
+)
+
+// ErrExhausted is the cause of an error if something was not begun because a budget has
+// nothing left for it.
+var ErrExhausted = errors.New("no memory left in the budget")
 
 // Budget is a number of bytes of which parts are taken and returned. It is safe for
 // concurrent use.
--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -180,7 +181,8 @@
 // handleError maps the error of a call to an engine to a result and a reason. It
 // reports full and failed engines to the placer, and excludes the engine from further
 // attempts unless it was full or the request ends: it is invalid or fenced, or its context
-// is done. A call that the engine didn't want now is not a failure of the engine.
+// is done. A call that the engine didn't want now is not a failure of the engine, nor is one
+// for which there was no memory. Only a stream that has begun waits for memory.
 func (a *attempt) handleError(ctx context.Context, step receipt.Step, address string, err error) (attemptResult, receipt.Reason) {
 	reason := receipt.Reason{
 		Code: receipt.CodeServerFailed,
@@ -202,6 +204,12 @@
 		reason.Code = receipt.CodeOverloaded
 		a.g.runner.deps.Placer.MarkFull(address, now)
 		return resultPlaceAgain, reason
+	case errors.Is(err, memory.ErrExhausted):
+		reason.Code = receipt.CodeOverloaded
+		if a.g.next == 0 {
+			return resultStop, reason
+		}
+		return resultPlaceAgain, reason
 	case errors.Is(err, kiln.ErrNotAdmitted):
 		a.g.exclude(address)
 		return resultPlaceAgain, reason
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
@@ -196,11 +197,13 @@
 		}
 		g.runner.deps.Metrics.Count("retries", string(reason.Step))
 	case resultPlaceAgain:
-		if g.req.Strict && reason.Step == receipt.StepPrefill && !errors.Is(reason.Err, kiln.ErrNotAdmitted) && !g.mayRetry() {
+		lacksMemory := errors.Is(reason.Err, memory.ErrExhausted)
+		isRefused := !lacksMemory && !errors.Is(reason.Err, kiln.ErrNotAdmitted)
+		if g.req.Strict && reason.Step == receipt.StepPrefill && isRefused && !g.mayRetry() {
 			return g.failureOutcome(reason)
 		}
 		g.tries--
-		if reason.Step == receipt.StepPrefill {
+		if reason.Step == receipt.StepPrefill || lacksMemory {
 			// A cancelled context is handled below.
 			_ = g.sleep(ctx, placeRetryInterval)
 		}
--- a/firing/stall.go
+++ b/firing/stall.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/recovery"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
@@ -145,7 +146,7 @@
 func (w *stallWatch) recordRefusal(address string, err error) {
 	placer, now := w.attempt.g.runner.deps.Placer, time.Now()
 	switch {
-	case w.ctx.Err() != nil:
+	case w.ctx.Err() != nil, errors.Is(err, memory.ErrExhausted):
 	case hasCode(err, kiln.ErrFull), hasCode(err, kiln.ErrBusy):
 		placer.MarkFull(address, now)
 	case isRefusal(err), errors.Is(err, kiln.ErrNotAdmitted):
--- a/quotation/services.go
+++ b/quotation/services.go
@@ -69,6 +69,9 @@
 // Begin records the start of a call.
 func (r *ServiceRanker) Begin(name string) { r.load(name).inFlight.Add(1) }
 
+// Withdraw records that a call was not sent after all.
+func (r *ServiceRanker) Withdraw(name string) { r.load(name).inFlight.Add(-1) }
+
 // End records the end of a call. The duration of a failed call is ignored, because it
 // says nothing about the server's latency.
 func (r *ServiceRanker) End(name string, took time.Duration, failed bool) {
--- a/workshop/hedge.go
+++ b/workshop/hedge.go
@@ -43,7 +43,7 @@
 				return last.outcome()
 			}
 			h.mayHaveRun = h.mayHaveRun || !last.isNotStarted()
-			if ctx.Err() == nil && h.sendAnother(ctx, "retry") {
+			if ctx.Err() == nil && !last.lacksMemory() && h.sendAnother(ctx, "retry") {
 				continue
 			}
 			if h.inFlight == 0 {
--- a/workshop/retryclient.go
+++ b/workshop/retryclient.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/common/recovery"
 	"github.com/balsamlock/balsamlock/common/settings"
@@ -186,6 +187,9 @@
 			return result.outcome()
 		}
 		reason = result.reason()
+		if result.lacksMemory() {
+			break
+		}
 		if !result.isNotStarted() {
 			return sent.Unknown(reason)
 		}
@@ -292,6 +296,7 @@
 	answer, err := callContained(ctx, server.Service, req)
 	c.logFailure(call, server, n, answer, err, time.Since(start))
 	switch {
+	case errors.Is(err, memory.ErrExhausted):
 	case err == nil:
 		state.recordLatency(time.Since(start))
 		c.health.recordAnswer(server.Name)
@@ -312,10 +317,10 @@
 	return service.Call(ctx, req)
 }
 
-// logFailure logs a try that got no answer or a server error. Cancelled tries aren't
-// logged.
+// logFailure logs a try that got no answer or a server error. Tries that were cancelled, or
+// for which there was no memory, aren't logged.
 func (c *RetryClient) logFailure(call Call, server Server, n int, answer Answer, err error, took time.Duration) {
-	if errors.Is(err, context.Canceled) || err == nil && answer.Status < http.StatusInternalServerError {
+	if errors.Is(err, context.Canceled) || errors.Is(err, memory.ErrExhausted) || err == nil && answer.Status < http.StatusInternalServerError {
 		return
 	}
 	entry := log.Warn().Str(event.Key, string(event.CallFailed)).Str(event.ID, call.Request.Attempt).Str("service", call.Service).
@@ -348,6 +353,10 @@
 	return errors.As(r.err, &notStarted)
 }
 
+// lacksMemory reports whether there was no memory to send the call. That holds for all
+// servers.
+func (r tryResult) lacksMemory() bool { return errors.Is(r.err, memory.ErrExhausted) }
+
 // isFailure reports whether the call should be retried on another server: no answer
 // arrived, or its status says that the server can't serve the call now.
 func (r tryResult) isFailure(call Call) bool {
@@ -366,6 +375,8 @@
 func (r tryResult) reason() receipt.Reason {
 	code := receipt.CodeAnswerLost
 	switch {
+	case r.lacksMemory():
+		code = receipt.CodeOverloaded
 	case r.isNotStarted():
 		code = receipt.CodeServerFailed
 	case errors.Is(r.err, context.DeadlineExceeded):
