firing: Keep a silent stream until its next engine has accepted it

A stream that was silent for 3 s was cancelled as soon as another engine had reserved a slot for it.

The next attempt now reserves, prefills, transfers and sends its decode while the silent run goes on. A token of the silent run that comes before is delivered, and ends the move; after the move none is. Both are decided under one mutex, and the next run begins at the token that the client lacked when the move began, so no token is lost or comes twice. A refused move costs its retry and is repeated no sooner than 500 ms later. A decode that was sent and given up counts as a run.

TestSilentStreamIsNotCutForRefusal before: receipt.Cut with 5 of 30 tokens in all four cases; it was run on the code before this commit only. Two of the new tests guard the change itself: TestSilentStreamIsMovedToEngineThatAnswersLate passed on the code before, TestSilentRunEndsWhenNextOneBegins was not run on it.

--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -19,8 +19,8 @@
 	id         string
 	plan       quotation.Run
 	allocation *quotation.Allocation
-	// isReserved is set if the decode slot was reserved before the attempt began.
-	isReserved bool
+	// started is set to the successor that has sent the decode already, until its stream is relayed.
+	started *successor
 	// held lists the addresses of the engines that may hold memory for the attempt.
 	held []string
 	// exportExpiresAt is when the exported KV cache expires, less exportMargin.
@@ -41,10 +41,7 @@
 	}
 	if next := g.successor; next != nil {
 		g.successor = nil
-		a.id = next.id
-		a.allocation = next.allocation
-		a.isReserved = true
-		a.hold(run.Decode.Address)
+		next.adopt(a)
 	} else {
 		a.id = g.newAttemptID()
 		a.allocation = g.runner.deps.Placer.Allocate(run, time.Now())
@@ -57,16 +54,18 @@
 	if a.g.turn != nil {
 		a.g.turn.Placed()
 	}
-	kv, result, reason := a.prepare(ctx)
-	if result != resultDone {
-		return result, reason
-	}
-	result, reason = a.transfer(ctx, kv)
-	if result != resultDone {
-		return result, reason
-	}
-	if reason := a.g.checkPrompt(); reason != nil {
-		return resultStop, *reason
+	if a.started == nil {
+		kv, result, reason := a.prepare(ctx)
+		if result != resultDone {
+			return result, reason
+		}
+		result, reason = a.transfer(ctx, kv)
+		if result != resultDone {
+			return result, reason
+		}
+		if reason := a.g.checkPrompt(); reason != nil {
+			return resultStop, *reason
+		}
 	}
 	if a.g.prepared == 0 {
 		a.g.prepared = time.Since(a.g.startedAt)
--- a/firing/fake_test.go
+++ b/firing/fake_test.go
@@ -35,6 +35,8 @@
 	reserveDelay time.Duration
 	// cancelDelay is how long a cancel takes to arrive.
 	cancelDelay time.Duration
+	// decodeDelay is how long a decode call takes.
+	decodeDelay time.Duration
 	// decodeErr is returned by each decode call, streamErr by each read of a stream,
 	// while set.
 	decodeErr error
@@ -133,7 +135,13 @@
 	return nil
 }
 
-func (e *fakeEngine) Decode(_ context.Context, req kiln.DecodeRequest) (kiln.Stream, error) {
+func (e *fakeEngine) Decode(ctx context.Context, req kiln.DecodeRequest) (kiln.Stream, error) {
+	e.mu.Lock()
+	delay := e.decodeDelay
+	e.mu.Unlock()
+	if err := sleep(ctx, delay); err != nil {
+		return nil, err
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.calls["decode"]++
@@ -207,7 +215,9 @@
 		delay = s.engine.firstTokenDelay
 	}
 	if s.next == preemptedAt {
+		s.engine.mu.Lock()
 		delay += s.engine.preemptedFor
+		s.engine.mu.Unlock()
 	}
 	if err := sleep(ctx, delay); err != nil {
 		return kiln.Frame{}, err
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -65,7 +65,7 @@
 	hasPrefilled bool
 	// retryPaid is set if the next retry has already been taken from the retry budget.
 	retryPaid atomic.Bool
-	// successor is the reservation of the next attempt, or nil.
+	// successor is the next attempt if it has been started already, or nil.
 	successor *successor
 	prefilled int
 	wasted    int
@@ -306,6 +306,18 @@
 
 func (g *generation) contextTokens() int { return g.req.Prompt.Tokens + g.next }
 
+func (g *generation) decodeRequest(attempt string, from int) kiln.DecodeRequest {
+	return kiln.DecodeRequest{
+		Attempt:   attempt,
+		Owner:     g.owner,
+		Model:     g.req.Model,
+		MaxTokens: g.req.MaxTokens,
+		From:      from,
+		Priority:  g.req.Priority,
+		Sampling:  g.req.Sampling,
+	}
+}
+
 func (g *generation) quotationRequest() quotation.Request {
 	return quotation.Request{
 		ID:           g.req.ID,
--- /dev/null
+++ b/firing/move_test.go
@@ -0,0 +1,107 @@
+package firing_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/balsamlock/balsamlock/firing"
+	"github.com/balsamlock/balsamlock/kiln"
+	"github.com/balsamlock/balsamlock/receipt"
+)
+
+// setLater changes all engines once their first streams have begun.
+func (f *fakeCluster) setLater(change func(e *fakeEngine)) {
+	time.AfterFunc(time.Second, func() {
+		for _, engine := range f.engines {
+			engine.mu.Lock()
+			change(engine)
+			engine.mu.Unlock()
+		}
+	})
+}
+
+// Guards against a silent stream that is cut because its next engine refuses it after the reservation.
+func TestSilentStreamIsNotCutForRefusal(t *testing.T) {
+	for name, refuse := range map[string]func(e *fakeEngine){
+		"prefill":        func(e *fakeEngine) { e.prefillErr = e.refuse("prefill", kiln.ErrFull) },
+		"broken prefill": func(e *fakeEngine) { e.prefillErr = errBroken },
+		"decode":         func(e *fakeEngine) { e.decodeErr = e.refuse("decode", kiln.ErrFull) },
+		"late decode": func(e *fakeEngine) {
+			e.decodeErr = e.refuse("decode", kiln.ErrFull)
+			e.decodeDelay = 250 * time.Millisecond
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inStrictBubble(t, true, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+				for _, engine := range engines.engines {
+					engine.preemptedFor = 4500 * time.Millisecond
+				}
+				engines.setLater(refuse)
+				ctx, stop := context.WithTimeout(c.Context(), 14*time.Second)
+				defer stop()
+				sink := &collector{}
+				result := runner.Run(ctx, strictRequest("r1", true), sink)
+				c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+				c.Assert(sink.frames, qt.HasLen, 30)
+				time.Sleep(time.Second)
+				engines.checkNoneReserved(c)
+			})
+		})
+	}
+}
+
+// Guards against a token that is missing or comes twice when a stream goes on while it is moved.
+func TestTokensOfStreamThatGoesOnDuringMove(t *testing.T) {
+	moved := map[bool]bool{}
+	for at := 3 * time.Second; at < 3250*time.Millisecond; at += 10 * time.Millisecond {
+		t.Run(at.String(), func(t *testing.T) {
+			inStrictBubble(t, true, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+				for _, engine := range engines.engines {
+					engine.preemptedFor = at
+				}
+				engines.setLater(func(e *fakeEngine) {
+					e.decodeDelay = 200 * time.Millisecond
+					e.preemptedFor = 0
+				})
+				sink := &collector{}
+				result := runner.Run(c.Context(), strictRequest("r1", true), sink)
+				c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+				c.Assert(sink.frames, qt.HasLen, 30)
+				first, last := sink.frames[0].Attempt, sink.frames[29].Attempt
+				for n, frame := range sink.frames {
+					want := last
+					if n < preemptedAt {
+						want = first
+					}
+					c.Check(frame.Index, qt.Equals, n)
+					c.Check(frame.Attempt, qt.Equals, want)
+				}
+				moved[first != last] = true
+			})
+		})
+	}
+	qt.Assert(t, moved, qt.HasLen, 2)
+}
+
+// Guards against a stream that stays with a silent engine because the next one answers late.
+func TestSilentStreamIsMovedToEngineThatAnswersLate(t *testing.T) {
+	inStrictBubble(t, true, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.preemptedFor = 20 * time.Second
+		}
+		engines.setLater(func(e *fakeEngine) {
+			e.decodeDelay = time.Second
+			e.preemptedFor = 0
+		})
+		start := time.Now()
+		sink := &collector{}
+		result := runner.Run(c.Context(), strictRequest("r1", true), sink)
+		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+		c.Assert(sink.frames, qt.HasLen, 30)
+		c.Check(engines.decodes(), qt.Equals, 2)
+		c.Check(time.Since(start) < 6*time.Second, qt.IsTrue)
+	})
+}
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -15,6 +15,7 @@
 var (
 	errMissingFrame = errors.New("missing frame")
 	errNoLastFrame  = errors.New("stream ended without a last frame")
+	errMoved        = errors.New("stream continues on another engine")
 )
 
 // sinkError is an error of the sink. It means that the caller disconnected.
@@ -41,7 +42,7 @@
 				Step: receipt.StepDeliver,
 				Err:  err,
 			}
-		case ctx.Err() != nil, isRefusal(err):
+		case ctx.Err() != nil, isRefusal(err), a.g.successor != nil:
 			return a.handleDecodeError(ctx, address, err)
 		}
 		if a.g.next > firstIndex {
@@ -111,33 +112,41 @@
 // If no token arrives within stallTimeout, it cancels the connection, but not before the
 // stream can continue elsewhere.
 func (a *attempt) streamOnce(ctx context.Context, address string) error {
-	stall := a.g.stallTimeout()
-	streamCtx, cancel := context.WithCancel(ctx)
+	streamCtx, cancel := a.streamContext(ctx)
 	defer cancel()
-	watch := newStallWatch(streamCtx, a, stall, cancel)
+	watch := newStallWatch(ctx, streamCtx, cancel, a)
 	defer watch.stop()
-	stream, err := a.engine(address).Decode(streamCtx, kiln.DecodeRequest{
-		Attempt:   a.id,
-		Owner:     a.g.owner,
-		Model:     a.g.req.Model,
-		MaxTokens: a.g.req.MaxTokens,
-		From:      a.g.next,
-		Priority:  a.g.req.Priority,
-		Sampling:  a.g.req.Sampling,
-	})
+	stream, err := a.openStream(streamCtx, address)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = stream.Close() }()
 	for {
-		last, err := a.relayNextFrame(streamCtx, stream)
+		last, err := a.relayNextFrame(streamCtx, stream, watch)
 		if err != nil || last {
 			return err
 		}
-		watch.progress(a.g.next)
 	}
 }
 
+// streamContext returns the context of the next stream.
+func (a *attempt) streamContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.started != nil {
+		return a.started.ctx, a.started.cancel
+	}
+	return context.WithCancel(ctx)
+}
+
+// openStream returns the stream of a decode, which may have been sent already.
+func (a *attempt) openStream(ctx context.Context, address string) (kiln.Stream, error) {
+	if a.started != nil {
+		result := <-a.started.decode
+		a.started = nil
+		return result.stream, result.err
+	}
+	return a.engine(address).Decode(ctx, a.g.decodeRequest(a.id, a.g.next))
+}
+
 // stallTimeout returns the time without a token after which a stream is treated as
 // broken. A stream that can't continue on another engine gets maxStreamSilence, since
 // breaking it earlier would only end it.
@@ -154,7 +163,7 @@
 
 // relayNextFrame waits for the next frame of this attempt and delivers it. It reports
 // whether that was the last frame.
-func (a *attempt) relayNextFrame(ctx context.Context, stream kiln.Stream) (last bool, err error) {
+func (a *attempt) relayNextFrame(ctx context.Context, stream kiln.Stream, watch *stallWatch) (last bool, err error) {
 	for {
 		frame, err := stream.Next(ctx)
 		if errors.Is(err, io.EOF) {
@@ -163,17 +172,23 @@
 		if err != nil {
 			return false, err
 		}
+		if !watch.admit() {
+			return false, errMoved
+		}
 		isNext, err := a.isNextFrame(frame)
 		if err != nil {
 			return false, err
 		}
 		if !isNext {
+			watch.dropped()
 			continue
 		}
 		if frame.Last {
 			a.g.finishReason = frame.Finish
 		}
-		return frame.Last, a.deliver(frame)
+		err = a.deliver(frame)
+		watch.progress(a.g.next, a.g.deliveredText.String())
+		return frame.Last, err
 	}
 }
 
--- a/firing/stall.go
+++ b/firing/stall.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -17,71 +16,115 @@
 
 // stallWatch cancels a stream that has been silent for too long. Silence alone doesn't
 // prove that an engine has failed: it may have preempted the request and go on with it.
-// A strict stream is therefore cancelled only once another engine has reserved a slot for
-// it and the retry budget has paid for the move; otherwise cancelling would only end it.
+// A strict stream is therefore cancelled only once another engine has accepted it. If a
+// token arrives before, the stream stays where it is.
 type stallWatch struct {
 	attempt *attempt
-	// ctx is the context of the stream.
-	ctx    context.Context
-	stall  time.Duration
-	cancel context.CancelFunc
+	// ctx is the context of the request, streamCtx that of the stream, which cancel cancels.
+	ctx       context.Context
+	streamCtx context.Context
+	cancel    context.CancelFunc
+	stall     time.Duration
 	// request is that of the placement of another attempt, for firstIndex tokens.
 	request    quotation.Request
 	firstIndex int
-	// next is the index of the next expected token, lastToken the time of the last one in
-	// nanoseconds since start.
-	start     time.Time
-	next      atomic.Int64
-	lastToken atomic.Int64
+	// checks waits for a check that runs.
+	checks sync.WaitGroup
 
 	// mu guards the fields below.
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// moved is set once another attempt continues the stream. No token of this one may be
+	// delivered then.
+	moved bool
+	// abort cancels the move that is being made. It is nil if there is none.
+	abort context.CancelFunc
+	// delivering is set while a token is passed to the caller.
+	delivering bool
+	// next is the index of the next expected token, text the text before it, lastToken the time
+	// of the last one.
+	next      int
+	text      string
+	lastToken time.Time
 	// logged is the verdict of the last log line.
 	logged string
 }
 
-// stallCheckInterval is the interval between checks whether a silent stream can continue
-// elsewhere.
-const stallCheckInterval = 100 * time.Millisecond
+const (
+	// stallCheckInterval is the interval between checks whether a silent stream can continue
+	// elsewhere.
+	stallCheckInterval = 100 * time.Millisecond
+	// failedMoveInterval is the same after a move that cost calls and failed.
+	failedMoveInterval = 500 * time.Millisecond
+)
 
-func newStallWatch(ctx context.Context, a *attempt, stall time.Duration, cancel context.CancelFunc) *stallWatch {
+func newStallWatch(ctx, streamCtx context.Context, cancel context.CancelFunc, a *attempt) *stallWatch {
 	w := &stallWatch{
 		attempt:    a,
 		ctx:        ctx,
-		stall:      stall,
+		streamCtx:  streamCtx,
 		cancel:     cancel,
+		stall:      a.g.stallTimeout(),
 		request:    a.g.quotationRequest(),
 		firstIndex: a.g.next,
-		start:      time.Now(),
+		next:       a.g.next,
+		text:       a.g.deliveredText.String(),
+		lastToken:  time.Now(),
 	}
 	w.request.Excluded = append(append([]string{}, w.request.Excluded...), a.plan.Decode.Address)
 	w.request.BestEffort = false
-	w.next.Store(int64(a.g.next))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(stall, w.check)
+	w.timer = time.AfterFunc(w.stall, w.check)
 	return w
 }
 
-// progress records that a token arrived.
-func (w *stallWatch) progress(next int) {
-	w.next.Store(int64(next))
-	w.lastToken.Store(int64(time.Since(w.start)))
+// admit reports whether a token that arrived may be delivered. It ends a move that is being made. After
+// it, progress or dropped must be called.
+func (w *stallWatch) admit() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved {
+		return false
+	}
+	w.delivering = true
+	w.abortLocked()
+	return true
 }
 
-// stop ends the watch. A check that still runs has no effect after it has returned.
-func (w *stallWatch) stop() {
+// dropped records that the admitted token was not the next one.
+func (w *stallWatch) dropped() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.delivering = false
+}
+
+// progress records that the admitted token was delivered.
+func (w *stallWatch) progress(next int, text string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.delivering = false
+	w.next = next
+	w.text = text
+	w.lastToken = time.Now()
+}
+
+// stop ends the watch, the stream and a move that is being made. No check runs after it has returned.
+func (w *stallWatch) stop() {
+	w.mu.Lock()
 	w.stopped = true
 	w.timer.Stop()
+	w.abortLocked()
+	w.cancel()
+	w.mu.Unlock()
+	w.checks.Wait()
 }
 
-// silence returns the time since the last token.
-func (w *stallWatch) silence() time.Duration {
-	return time.Since(w.start) - time.Duration(w.lastToken.Load())
+func (w *stallWatch) abortLocked() {
+	if w.abort != nil {
+		w.abort()
+	}
 }
 
 // check cancels the stream if it can continue elsewhere, and is repeated otherwise. It runs in the
@@ -89,63 +132,81 @@
 func (w *stallWatch) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.checks.Add(1)
+	defer w.checks.Done()
 	defer recovery.Contain("check silent stream", func(error) { w.timer.Reset(stallCheckInterval) })
-	silence := w.silence()
+	silence := time.Since(w.lastToken)
 	switch {
-	case w.stopped:
 	case silence < w.stall:
 		w.timer.Reset(w.stall - silence)
 	case !w.attempt.g.req.Strict || silence >= maxStreamSilence:
 		w.log(silence, "ended")
 		w.cancel()
+	case w.delivering:
+		w.timer.Reset(stallCheckInterval)
 	default:
 		w.moveLocked()
 	}
 }
 
-// moveLocked cancels the stream once another engine has reserved a slot for it. The mutex
-// is released during the reservation.
+// moveLocked cancels the stream once another engine has accepted it.
 func (w *stallWatch) moveLocked() {
-	g := w.attempt.g
+	wait := stallCheckInterval
 	run, obstacle := w.placeElsewhere()
-	var next *successor
 	if obstacle == "" {
-		next = newSuccessor(g, run)
-		if err := w.reserveUnlocked(next); err != nil {
-			next = nil
-			obstacle = "kept_refused"
-			w.recordRefusal(run.Decode.Address, err)
-		}
+		obstacle, wait = w.moveToLocked(run)
 	}
-	silence := w.silence()
+	silence := time.Since(w.lastToken)
 	switch {
 	case w.stopped:
-		next.release()
-	case silence < w.stall:
-		next.release()
-		w.timer.Reset(w.stall - silence)
-	case next != nil:
+	case w.moved:
 		w.log(silence, "moved")
-		g.successor = next
 		w.cancel()
+	case silence < w.stall:
+		w.timer.Reset(w.stall - silence)
 	default:
 		w.log(silence, obstacle)
-		w.timer.Reset(stallCheckInterval)
+		w.timer.Reset(wait)
+	}
+}
+
+// moveToLocked starts another attempt. If it is accepted before a token of this one arrives, it is the
+// generation's successor. Otherwise the obstacle and the time until another check are returned.
+// The mutex is released during the calls.
+func (w *stallWatch) moveToLocked(run quotation.Run) (obstacle string, wait time.Duration) {
+	g := w.attempt.g
+	next := newSuccessor(w.ctx, g, run, w.next, w.text)
+	w.abort = next.cancel
+	err := w.startUnlocked(next)
+	w.abort = nil
+	if err == nil && next.ctx.Err() == nil {
+		w.moved = true
+		g.successor = next
+		return "", 0
+	}
+	if next.ctx.Err() == nil {
+		w.recordRefusal(next.peer, err)
+	}
+	next.release()
+	if next.prefilledAt.IsZero() {
+		return "kept_refused", stallCheckInterval
 	}
+	return "kept_refused", failedMoveInterval
 }
 
-// reserveUnlocked makes the reservation of a successor without the mutex.
-func (w *stallWatch) reserveUnlocked(next *successor) error {
+func (w *stallWatch) startUnlocked(next *successor) error {
 	w.mu.Unlock()
 	defer w.mu.Lock()
-	return next.reserve(w.ctx)
+	return next.start(w.streamCtx)
 }
 
-// recordRefusal records that an engine reserved no slot, as for any other attempt.
+// recordRefusal records that an engine didn't accept the stream, as for any other attempt.
 func (w *stallWatch) recordRefusal(address string, err error) {
 	placer, now := w.attempt.g.runner.deps.Placer, time.Now()
 	switch {
-	case w.ctx.Err() != nil:
 	case hasCode(err, kiln.ErrFull), hasCode(err, kiln.ErrBusy):
 		placer.MarkFull(address, now)
 	case isRefusal(err), errors.Is(err, kiln.ErrNotAdmitted):
@@ -164,7 +225,7 @@
 	w.logged = verdict
 	g := w.attempt.g
 	log.Warn().Str(event.Key, string(event.StreamSilent)).Str(event.ID, g.req.ID).Int("try", g.tries).
-		Str("decode", w.attempt.plan.Decode.Name).Int64("events", w.next.Load()).Int64("silent_ms", silence.Milliseconds()).
+		Str("decode", w.attempt.plan.Decode.Name).Int("events", w.next).Int64("silent_ms", silence.Milliseconds()).
 		Str("verdict", verdict).Msg("no tokens from the engine")
 }
 
@@ -173,13 +234,15 @@
 func (w *stallWatch) placeElsewhere() (run quotation.Run, obstacle string) {
 	g := w.attempt.g
 	req := w.request
-	delivered := int(w.next.Load()) - w.firstIndex
+	delivered := w.next - w.firstIndex
 	req.PromptTokens += delivered
 	req.OutputTokens -= delivered
 	run, ok := g.runner.deps.Placer.Place(req, time.Now()).(quotation.Run)
 	switch {
 	case !ok:
 		return run, "kept_no_capacity"
+	case g.runs+1 >= g.req.MaxRuns, g.checkPrompt() != nil:
+		return run, "kept_no_run"
 	case !g.prepayRetry():
 		return run, "kept_no_retry"
 	}
--- a/firing/steps.go
+++ b/firing/steps.go
@@ -13,10 +13,6 @@
 func (a *attempt) reserve(ctx context.Context) (attemptResult, receipt.Reason) {
 	address := a.plan.Decode.Address
 	a.hold(address)
-	if a.isReserved {
-		a.isReserved = false
-		return resultDone, receipt.Reason{}
-	}
 	reserveCtx, cancel := context.WithTimeout(ctx, milliseconds(a.g.runner.cfg.ReserveMS))
 	defer cancel()
 	headroom := a.g.req.HeadroomTokens + a.g.spareTokens(a.plan.Decode)
