firing: Wait for an engine from the time a stream breaks off

A stream whose engine was silent for more than 2.5 s and broke then was cut at once if no other engine took it at the moment ("place: no_server"), although its client waited: the wait for an engine (firing.resume_wait_ms) counted from the last token. A stream moved after 3 s whose next engine failed had no time left either.

The wait counts from the end of the last run now. The client's own limit, the deadline and the route's timeout bound it as before.

TestStreamThatBreaksAfterSilenceWaitsForEngine before: receipt.Cut with 5 of 30 tokens.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -148,7 +148,7 @@
 	// requests but drafts.
 	WaitMS int `json:"wait_ms"`
 	// ResumeWaitMS bounds the wait for an engine that continues an interrupted
-	// stream, measured from its last token. If zero, WaitMS applies.
+	// stream, measured from the interruption. If zero, WaitMS applies.
 	ResumeWaitMS int `json:"resume_wait_ms"`
 	// RetryAfterMS is the time after which refused callers are told to retry.
 	RetryAfterMS int `json:"retry_after_ms"`
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -59,6 +59,9 @@
 	queued        time.Duration
 	prepared      time.Duration
 	lastTokenAt   time.Time
+	// lastRunEnd is when the last decode broke off. Until then, its engine may have been silent for
+	// long.
+	lastRunEnd time.Time
 	// lastPrefillAt is when a prefill was last sent.
 	lastPrefillAt time.Time
 	// hasPrefilled is set once an engine has accepted a prefill.
--- a/firing/move_test.go
+++ b/firing/move_test.go
@@ -105,3 +105,31 @@
 		c.Check(time.Since(start) < 6*time.Second, qt.IsTrue)
 	})
 }
+
+// Guards against a stream that is cut at once because it was silent for long before its engine broke it.
+func TestStreamThatBreaksAfterSilenceWaitsForEngine(t *testing.T) {
+	inStrictBubble(t, true, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.preemptedFor = 3500 * time.Millisecond
+		}
+		engines.setLater(func(e *fakeEngine) {
+			e.reserveErr = errBroken
+			e.streamErr = errBroken
+		})
+		time.AfterFunc(4500*time.Millisecond, func() {
+			for _, engine := range engines.engines {
+				engine.mu.Lock()
+				engine.reserveErr = nil
+				engine.streamErr = nil
+				engine.preemptedFor = 0
+				engine.mu.Unlock()
+			}
+		})
+		ctx, stop := context.WithTimeout(c.Context(), 14*time.Second)
+		defer stop()
+		sink := &collector{}
+		result := runner.Run(ctx, strictRequest("r1", true), sink)
+		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+		c.Assert(sink.frames, qt.HasLen, 30)
+	})
+}
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -59,6 +59,7 @@
 // is lost with the engine's memory, so a refusal counts as a failure, too.
 func (a *attempt) handleDecodeError(ctx context.Context, address string, err error) (attemptResult, receipt.Reason) {
 	a.g.recordRun(err)
+	a.g.lastRunEnd = time.Now()
 	a.reportBreak(ctx, err)
 	result, reason := a.handleError(ctx, receipt.StepDecode, address, err)
 	if result == resultPlaceAgain {
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -92,19 +92,20 @@
 
 // waitDeadline returns the time until which the request may wait for engines. WaitMS
 // counts from the latest of the start, the last prefill and the last token. Once a token
-// was delivered, ResumeWaitMS counts from the last token instead, unless it is 0.
+// was delivered, ResumeWaitMS counts from the end of the last run instead, unless it is 0.
 func (g *generation) waitDeadline() time.Time {
-	base := g.startedAt
-	if g.lastPrefillAt.After(base) {
-		base = g.lastPrefillAt
+	cfg := g.runner.cfg
+	if g.next > 0 && cfg.ResumeWaitMS > 0 {
+		return later(g.startedAt, g.lastRunEnd).Add(milliseconds(cfg.ResumeWaitMS))
 	}
-	if g.next > 0 && g.runner.cfg.ResumeWaitMS > 0 {
-		return g.lastTokenAt.Add(milliseconds(g.runner.cfg.ResumeWaitMS))
-	}
-	if g.lastTokenAt.After(base) {
-		base = g.lastTokenAt
+	return later(later(g.startedAt, g.lastPrefillAt), g.lastTokenAt).Add(milliseconds(cfg.WaitMS))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	return base.Add(milliseconds(g.runner.cfg.WaitMS))
+	return a
 }
 
 // maxPauseWait is the longest remaining pause of all engines that a request waits for.
