--- a/firing/generation.go
+++ b/firing/generation.go
@@ -60,13 +60,16 @@
 	queued        time.Duration
 	prepared      time.Duration
 	lastTokenAt   time.Time
+	// lastRunEnd is when the last decode broke off. Until then, its engine may have been silent for
+	// long.
+	lastRunEnd time.Time
 	// lastPrefillAt is when a prefill was last sent.
 	lastPrefillAt time.Time
 	// hasPrefilled is set once an engine has accepted a prefill.
 	hasPrefilled bool
 	// retryPaid is set if the next retry has already been taken from the retry budget.
 	retryPaid atomic.Bool
-	// successor is the reservation of the next attempt, or nil.
+	// successor is the next attempt if it has been started already, or nil.
 	successor *successor
 	prefilled int
 	wasted    int
@@ -309,6 +312,18 @@
 
 func (g *generation) contextTokens() int { return g.req.Prompt.Tokens + g.next }
 
+func (g *generation) decodeRequest(attempt string, from int) kiln.DecodeRequest {
+	return kiln.DecodeRequest{
+		Attempt:   attempt,
+		Owner:     g.owner,
+		Model:     g.req.Model,
+		MaxTokens: g.req.MaxTokens,
+		From:      from,
+		Priority:  g.req.Priority,
+		Sampling:  g.req.Sampling,
+	}
+}
+
 func (g *generation) quotationRequest() quotation.Request {
 	return quotation.Request{
 		ID:           g.req.ID,
