--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -205,7 +205,7 @@
 		a.g.runner.deps.Placer.MarkFull(address, now)
 		return resultPlaceAgain, reason
 	case errors.Is(err, memory.ErrExhausted):
-		reason.Code = receipt.CodeOverloaded
+		reason.Code = receipt.CodeNoMemory
 		if a.g.next == 0 {
 			return resultStop, reason
 		}
@@ -242,7 +242,8 @@
 
 // log logs the engines of an attempt and how it ended.
 func (a *attempt) log(result attemptResult, reason receipt.Reason, took time.Duration) {
-	if result == resultPlaceAgain && reason.Code == receipt.CodeOverloaded && reason.Step == receipt.StepReserve {
+	isFull := reason.Code == receipt.CodeOverloaded || reason.Code == receipt.CodeNoMemory
+	if result == resultPlaceAgain && isFull && reason.Step == receipt.StepReserve {
 		// A refused reservation is retried every few milliseconds, so each of them
 		// is counted rather than logged. The request's own log line has the wait.
 		a.g.runner.deps.Metrics.Count("reservations", "refused")
--- a/workshop/retryclient.go
+++ b/workshop/retryclient.go
@@ -376,7 +376,7 @@
 	code := receipt.CodeAnswerLost
 	switch {
 	case r.lacksMemory():
-		code = receipt.CodeOverloaded
+		code = receipt.CodeNoMemory
 	case r.isNotStarted():
 		code = receipt.CodeServerFailed
 	case errors.Is(r.err, context.DeadlineExceeded):
