--- a/quotation/services.go
+++ b/quotation/services.go
@@ -100,15 +100,14 @@
 // Rank returns the servers ordered by the expected latency of a call from a data
 // centre. id seeds the jitter, so that instances with the same view choose
 // differently.
-func (r *ServiceRanker) Rank(servers []crew.Server, dataCentre, region, id string, now time.Time) []crew.Server {
+func (r *ServiceRanker) Rank(servers []*crew.Server, dataCentre, region, id string, now time.Time) []*crew.Server {
 	type candidate struct {
 		server *crew.Server
 		score  float64
 	}
 	seed := xxhash.Sum64String(id)
 	candidates := make([]candidate, 0, len(servers))
-	for i := range servers {
-		server := &servers[i]
+	for i, server := range servers {
 		score := float64(r.load(server.Name).expectedLatency(server.Slots, now))
 		score += float64(roundTripTime(server, dataCentre, region))
 		if now.Before(server.ColdUntil) {
@@ -120,17 +119,17 @@
 		})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
-	ranked := make([]crew.Server, 0, len(candidates))
+	ranked := make([]*crew.Server, 0, len(candidates))
 	for _, c := range candidates {
-		ranked = append(ranked, *c.server)
+		ranked = append(ranked, c.server)
 	}
 	return ranked
 }
 
 // Admitting returns the servers that take calls at now: all but those that have asked for
 // none until later. The others take their load.
-func Admitting(servers []crew.Server, now time.Time) []crew.Server {
-	admitting := make([]crew.Server, 0, len(servers))
+func Admitting(servers []*crew.Server, now time.Time) []*crew.Server {
+	admitting := make([]*crew.Server, 0, len(servers))
 	for _, server := range servers {
 		if !now.Before(server.PausedUntil) {
 			admitting = append(admitting, server)
@@ -141,7 +140,7 @@
 
 // FirstAdmission returns when the first of the servers takes calls, or the zero time if
 // there are none.
-func FirstAdmission(servers []crew.Server) time.Time {
+func FirstAdmission(servers []*crew.Server) time.Time {
 	var first time.Time
 	for n, server := range servers {
 		if n == 0 || server.PausedUntil.Before(first) {
--- a/quotation/services_test.go
+++ b/quotation/services_test.go
@@ -10,10 +10,10 @@
 )
 
 // testServers returns one server in each of three data centres, two of them in one region.
-func testServers() []crew.Server {
-	servers := make([]crew.Server, 0, 3)
+func testServers() []*crew.Server {
+	servers := make([]*crew.Server, 0, 3)
 	for _, location := range [][2]string{{"near", "here"}, {"next", "here"}, {"far", "there"}} {
-		servers = append(servers, crew.Server{
+		servers = append(servers, &crew.Server{
 			Name:       location[0],
 			DataCentre: location[0],
 			Region:     location[1],
@@ -79,7 +79,7 @@
 func TestAdmittingServers(t *testing.T) {
 	c := qt.New(t)
 	at := time.Now()
-	servers := []crew.Server{
+	servers := []*crew.Server{
 		{
 			Name:        "a",
 			PausedUntil: at.Add(3 * time.Second),
--- a/quotation/stack_test.go
+++ b/quotation/stack_test.go
@@ -18,9 +18,9 @@
 // Guards against ranking that makes the stack of each request's goroutine grow for as long as the request runs.
 func TestRankNeedsLittleStack(t *testing.T) {
 	c := qt.New(t)
-	var servers []crew.Server
+	var servers []*crew.Server
 	for i := range 40 {
-		servers = append(servers, crew.Server{
+		servers = append(servers, &crew.Server{
 			Name:       fmt.Sprintf("w%d", i),
 			DataCentre: "a",
 			Slots:      1 + i%7,
