--- a/common/ingress/evict_test.go
+++ b/common/ingress/evict_test.go
@@ -177,3 +177,44 @@
 	_ = conn.Close()
 	eventually(c, func() bool { return budget.Used() == 0 })
 }
+
+// Guards against requests that get no answer at the end of a server whose limits are reached.
+func TestFinishAnswersRequestsBeyondTheLimits(t *testing.T) {
+	c := qt.New(t)
+	const kept, n = 20, 150
+	requests := memory.NewBudget(100 * requestBytes)
+	server, address := startBudgetedServer(c, Deps{
+		Handler:        respondWith(10),
+		Requests:       requests,
+		MaxConnections: kept,
+	})
+	var conns []net.Conn
+	for range kept {
+		conn, _ := dialKept(c, address, true)
+		conns = append(conns, conn)
+	}
+	eventually(c, func() bool { return requests.Used() == 0 })
+	c.Assert(requests.Take(requests.Limit()), qt.IsTrue)
+	for range n {
+		conn, _ := dial(c, address)
+		conns = append(conns, conn)
+	}
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, getRequest)
+		c.Assert(err, qt.IsNil)
+	}
+	done := make(chan struct{})
+	go func() {
+		server.Finish(5*time.Second, 100*time.Millisecond)
+		server.Close()
+		close(done)
+	}()
+	for i, conn := range conns {
+		raw, err := io.ReadAll(conn)
+		c.Check(err, qt.IsNil, qt.Commentf("connection %d", i))
+		c.Check(strings.HasPrefix(string(raw), "HTTP/1.1 503 "), qt.IsTrue, qt.Commentf("connection %d: %q", i, raw))
+		_ = conn.Close()
+	}
+	<-done
+	c.Check(server.Connections(), qt.Equals, 0)
+}
