common/ingress: Let a test wait until its listener is served

TestFinishAnswersRequestsWithoutDescriptors called Finish while the goroutine of Serve might not have started, in which case Finish has no listener to wait for. What it checks is unchanged.

--- a/common/ingress/kernel_test.go
+++ b/common/ingress/kernel_test.go
@@ -155,6 +155,12 @@
 	listener.full.Store(true)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(listener) }()
+	// A listener that is not served yet is not waited for.
+	eventually(c, func() bool {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		return len(server.listeners) > 0
+	})
 	conn, _ := dial(c, tcp.Addr().String())
 	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	c.Assert(err, qt.IsNil)
