--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -62,6 +62,14 @@
 	}
 }
 
+// output returns a writer to the caller.
+func (c *conn) output() progressWriter {
+	return progressWriter{
+		conn:    c.netConn,
+		timeout: c.server.deps.WriteTimeout,
+	}
+}
+
 // serve serves requests until the connection can't be used any more.
 func (c *conn) serve() {
 	defer c.releaseReadBuffer()
@@ -169,7 +177,7 @@
 		}
 	}
 	if expectsContinue(req) {
-		_, _ = io.WriteString(c.netConn, "HTTP/1.1 100 Continue\r\n\r\n")
+		_, _ = io.WriteString(c.output(), "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	body, status := c.readBody(req, limits)
 	if status != 0 {
--- a/common/ingress/ingress.go
+++ b/common/ingress/ingress.go
@@ -88,7 +88,7 @@
 	// request that would exceed it is refused with status 503 and not passed to the
 	// handler. Nil means no limit.
 	Bodies *memory.Budget
-	// WriteTimeout is the timeout of each write to a caller.
+	// WriteTimeout is how long a caller may read nothing of its response.
 	WriteTimeout time.Duration
 	// Rejected is called for each request that was answered with an error and not passed
 	// to the handler. It may be nil.
