firing: Take the retry of a moved stream after its reservation

The retry of a silent stream was taken from the shared budget before another engine was asked for a slot. If engines were full and the stream went on where it was, two calls of the budget were gone until their window ended, though none was made. That happens when engines preempt, which is when others need retries.

The budget is only asked before the reservation now, and the retry is taken after it, before the prefill.

TestMoveWithoutReservationTakesNoRetry before: 2 calls taken, want 0; passes now.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -85,6 +85,8 @@
 	// RecordFirstAttempt records the first attempt of a request and adds to the budget
 	// of its caller.
 	RecordFirstAttempt(caller string)
+	// Allows reports whether the budget of the caller allows a number of repeated calls.
+	Allows(caller string, calls int) bool
 	// Take reports whether the budget of the caller allows a number of repeated calls,
 	// and takes them from the budget if so.
 	Take(caller string, calls int) bool
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -67,7 +66,7 @@
 	// hasPrefilled is set once an engine has accepted a prefill.
 	hasPrefilled bool
 	// retryPaid is set if the next retry has already been taken from the retry budget.
-	retryPaid atomic.Bool
+	retryPaid bool
 	// successor is the next attempt if it has been started already, or nil.
 	successor *successor
 	prefilled int
@@ -228,7 +227,8 @@
 	if g.tries >= g.runner.cfg.Tries {
 		return false
 	}
-	if g.retryPaid.Swap(false) || g.takeRetry() {
+	if g.retryPaid || g.takeRetry() {
+		g.retryPaid = false
 		return true
 	}
 	log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, g.req.ID).Str("service", g.req.Caller).
@@ -239,21 +239,16 @@
 // takeRetry reports whether the retry budget allows one more attempt, and takes it from
 // the budget if so.
 func (g *generation) takeRetry() bool {
-	return g.runner.deps.Retries == nil || g.req.Class == ClassDraft ||
-		g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls())
+	return !g.needsBudget() || g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls())
 }
 
-// prepayRetry is like mayRetry for an attempt that begins after the current one has been
-// cancelled. It may be called while that one runs, and more than once.
-func (g *generation) prepayRetry() bool {
-	if g.retryPaid.Load() {
-		return true
-	}
-	if g.tries >= g.runner.cfg.Tries || !g.takeRetry() {
-		return false
-	}
-	g.retryPaid.Store(true)
-	return true
+// allowsRetry is like takeRetry, but takes nothing from the budget.
+func (g *generation) allowsRetry() bool {
+	return !g.needsBudget() || g.runner.deps.Retries.Allows(g.req.Caller, g.retryCalls())
+}
+
+func (g *generation) needsBudget() bool {
+	return g.runner.deps.Retries != nil && g.req.Class != ClassDraft
 }
 
 // failureOutcome returns the outcome of a request whose answer is missing or
--- a/firing/move_test.go
+++ b/firing/move_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/balsamlock/balsamlock/firing"
 	"github.com/balsamlock/balsamlock/kiln"
+	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
 )
 
@@ -133,3 +136,41 @@
 		c.Assert(sink.frames, qt.HasLen, 30)
 	})
 }
+
+// countingBudget is a RetryBudget that counts the calls taken.
+type countingBudget struct{ taken atomic.Int64 }
+
+func (b *countingBudget) RecordFirstAttempt(string) {}
+func (b *countingBudget) Allows(string, int) bool   { return true }
+
+func (b *countingBudget) Take(_ string, calls int) bool {
+	b.taken.Add(int64(calls))
+	return true
+}
+
+// Guards against retries that are taken from the budget for a move that isn't made.
+func TestMoveWithoutReservationTakesNoRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		engines := newFakeCluster(1, 2, 2)
+		budget := &countingBudget{}
+		runner := firing.NewRunner(firing.Deps{
+			Engines:  engines,
+			Placer:   quotation.NewPlacer(quotation.Deps{Servers: engines}),
+			Retries:  budget,
+			Instance: "entry-1",
+			Config:   strictConfig(),
+		})
+		defer runner.Close()
+		for _, engine := range engines.engines {
+			engine.preemptedFor = 3500 * time.Millisecond
+		}
+		engines.setLater(func(e *fakeEngine) { e.reserveErr = e.refuse("reserve", kiln.ErrFull) })
+		sink := &collector{}
+		result := runner.Run(c.Context(), strictRequest("r1", true), sink)
+		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+		c.Assert(sink.frames, qt.HasLen, 30)
+		c.Check(engines.count("reserve") > 1, qt.IsTrue)
+		c.Check(budget.taken.Load(), qt.Equals, int64(0))
+	})
+}
--- a/firing/stall.go
+++ b/firing/stall.go
@@ -185,13 +185,18 @@
 	if err == nil && next.ctx.Err() == nil {
 		w.moved = true
 		g.successor = next
+		g.retryPaid = true
 		return "", 0
 	}
-	if next.ctx.Err() == nil {
+	isOverBudget := errors.Is(err, errNoRetry)
+	if next.ctx.Err() == nil && !isOverBudget {
 		w.recordRefusal(next.peer, err)
 	}
 	next.release()
-	if next.prefilledAt.IsZero() {
+	switch {
+	case isOverBudget:
+		return "kept_no_retry", stallCheckInterval
+	case next.prefilledAt.IsZero():
 		return "kept_refused", stallCheckInterval
 	}
 	return "kept_refused", failedMoveInterval
@@ -229,8 +234,7 @@
 		Str("verdict", verdict).Msg("no tokens from the engine")
 }
 
-// placeElsewhere returns the engines on which the stream may continue, or why it can't. If
-// it can, the move has been taken from the retry budget.
+// placeElsewhere returns the engines on which the stream may continue, or why it can't.
 func (w *stallWatch) placeElsewhere() (run quotation.Run, obstacle string) {
 	g := w.attempt.g
 	req := w.request
@@ -243,7 +247,7 @@
 		return run, "kept_no_capacity"
 	case g.runs+1 >= g.req.MaxRuns, g.checkPrompt() != nil:
 		return run, "kept_no_run"
-	case !g.prepayRetry():
+	case g.tries >= g.runner.cfg.Tries, !g.allowsRetry():
 		return run, "kept_no_retry"
 	}
 	return run, ""
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -253,6 +253,7 @@
 type exhaustedBudget struct{}
 
 func (exhaustedBudget) RecordFirstAttempt(string) {}
+func (exhaustedBudget) Allows(string, int) bool   { return false }
 func (exhaustedBudget) Take(string, int) bool     { return false }
 
 // Engines that just failed are still listed, as when a rack loses power under load, and
--- a/firing/successor.go
+++ b/firing/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/balsamlock/balsamlock/common/recovery"
@@ -13,8 +14,10 @@
 // continues it. The engine may have begun by then, and two runs of a request must not overlap for long.
 const maxAcceptTime = 300 * time.Millisecond
 
+var errNoRetry = errors.New("retry budget exhausted")
+
 // successor is the next attempt of a stream, which is prepared and started while the current one still
-// runs. Its methods don't change the generation, except adopt and release.
+// runs. Only adopt and release change the generation.
 type successor struct {
 	g          *generation
 	id         string
@@ -72,7 +75,7 @@
 	if err := s.reserve(reserveCtx); err != nil {
 		return err
 	}
-	for _, step := range []func() error{s.prefill, s.transfer, s.sendDecode} {
+	for _, step := range []func() error{s.pay, s.prefill, s.transfer, s.sendDecode} {
 		err := s.ctx.Err()
 		if err == nil {
 			err = step()
@@ -104,6 +107,14 @@
 	return err
 }
 
+// pay takes the attempt from the retry budget. A reservation doesn't count against it.
+func (s *successor) pay() error {
+	if !s.g.takeRetry() {
+		return errNoRetry
+	}
+	return nil
+}
+
 func (s *successor) prefill() error {
 	expected := s.plan.Queue + s.plan.Compute
 	ctx, cancel := context.WithTimeout(s.ctx, 2*expected+milliseconds(s.g.runner.cfg.PrefillMS))
@@ -180,8 +191,7 @@
 	s.g.hasPrefilled = s.g.hasPrefilled || s.kv.Source != ""
 }
 
-// release gives up the attempt. Its calls count, so that another one must be paid for. It does nothing
-// if there is no successor.
+// release gives up the attempt. It does nothing if there is no successor.
 func (s *successor) release() {
 	if s == nil {
 		return
@@ -189,9 +199,6 @@
 	s.cancel()
 	s.recordPrefill()
 	s.g.wasted += s.kv.Computed
-	if !s.prefilledAt.IsZero() {
-		s.g.retryPaid.Store(false)
-	}
 	if s.decode != nil {
 		result := <-s.decode
 		if result.stream != nil {
--- a/intake/retries.go
+++ b/intake/retries.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// Allows reports whether the budget of the caller allows a number of repeated calls.
+func (r *RetryBudget) Allows(caller string, calls int) bool {
+	return r.budget(caller).Load() >= int64(calls)*retryCost
+}
+
 // Take reports whether the budget of the caller allows a number of repeated calls, and
 // takes them from the budget if so.
 func (r *RetryBudget) Take(caller string, calls int) bool {
--- a/intake/sharedretries.go
+++ b/intake/sharedretries.go
@@ -102,6 +102,22 @@
 	w := s.window(service)
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !s.allowsLocked(w, calls) {
+		return false
+	}
+	w.slots[w.current].retries += float64(calls)
+	return true
+}
+
+// Allows reports whether the budget of the service allows a number of repeated calls.
+func (s *SharedRetryBudget) Allows(service string, calls int) bool {
+	w := s.window(service)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.allowsLocked(w, calls)
+}
+
+func (s *SharedRetryBudget) allowsLocked(w *retryWindow, calls int) bool {
 	w.advanceLocked(time.Now())
 	var requests, retries float64
 	for i, slot := range w.slots {
@@ -113,11 +129,7 @@
 		}
 	}
 	allowed := (1 - s.cfg.Reserve) * (s.cfg.Ratio*requests + s.cfg.Slack*s.Share())
-	if retries+float64(calls) > allowed {
-		return false
-	}
-	w.slots[w.current].retries += float64(calls)
-	return true
+	return retries+float64(calls) <= allowed
 }
 
 func (s *SharedRetryBudget) window(service string) *retryWindow {
