common/ingress: Refuse on fewer connections where descriptors are few

64 connections to refuse requests on were more than a process with few descriptors has left beside those that it serves: with 64 descriptors and 400 callers that keep their connections, 126 accepts failed. Now they are a quarter of the connections, 8 to 64.

--- a/common/ingress/admission.go
+++ b/common/ingress/admission.go
@@ -16,8 +16,11 @@
 	// headerCopies is the number of copies of its header that a request in progress holds.
 	headerCopies = 4
 	// maxRefusing is the number of connections beyond the limits that are accepted at the same
-	// time to refuse a request each.
-	maxRefusing = 64
+	// time to refuse a request each. Below a small number of connections it is refusingFraction
+	// of them, but at least minRefusing.
+	maxRefusing      = 64
+	minRefusing      = 8
+	refusingFraction = 0.25
 )
 
 // Resource is what a request was refused for the lack of.
@@ -67,15 +70,16 @@
 }
 
 func newAdmission(deps Deps) *admission {
-	slots := orUnlimited(nil)
+	slots, refusing := orUnlimited(nil), maxRefusing
 	if deps.MaxConnections > 0 {
 		slots = memory.NewBudget(int64(deps.MaxConnections))
+		refusing = max(minRefusing, min(maxRefusing, int(refusingFraction*float64(deps.MaxConnections))))
 	}
 	return &admission{
 		connections: orUnlimited(deps.Connections),
 		requests:    orUnlimited(deps.Requests),
 		slots:       slots,
-		refusing:    memory.NewBudget(maxRefusing),
+		refusing:    memory.NewBudget(int64(refusing)),
 	}
 }
 
--- a/common/ingress/evict_test.go
+++ b/common/ingress/evict_test.go
@@ -32,21 +32,23 @@
 
 func TestNewConnectionsAreServedRefusedOrWait(t *testing.T) {
 	c := qt.New(t)
-	connections := memory.NewBudget(10 * connectionBytes)
+	const n = 100
+	connections := memory.NewBudget(2 * n * connectionBytes)
 	a := newAdmission(Deps{
 		Connections:    connections,
-		MaxConnections: 2,
+		MaxConnections: n,
 	})
 	rooms := 0
 	admit := func() verdict { return a.admitConn(func() { rooms++ }) }
-	c.Check(admit(), qt.Equals, verdictServe)
-	c.Check(admit(), qt.Equals, verdictServe)
+	for range n {
+		c.Assert(admit(), qt.Equals, verdictServe)
+	}
 	c.Check(rooms, qt.Equals, 0)
-	for range maxRefusing {
+	for range int(refusingFraction * n) {
 		c.Assert(admit(), qt.Equals, verdictRefuse)
 	}
 	c.Check(admit(), qt.Equals, verdictWait)
-	c.Check(connections.Used(), qt.Equals, int64(2*connectionBytes))
+	c.Check(connections.Used(), qt.Equals, int64(n*connectionBytes))
 	c.Check(a.admitConn(a.endConn), qt.Equals, verdictServe, qt.Commentf("room was made"))
 	a.endRefusal()
 	c.Check(admit(), qt.Equals, verdictRefuse)
@@ -106,7 +108,8 @@
 			}
 			eventually(c, func() bool { return len(handler.all()) == n })
 			// Connections without a request, which occupy what is left to refuse requests.
-			for range 2 * maxRefusing {
+			refusing := int(server.admission.refusing.Limit())
+			for range 2 * refusing {
 				conn, _ := dial(c, address)
 				defer func() { _ = conn.Close() }()
 			}
@@ -118,7 +121,7 @@
 				c.Check(resp.Close, qt.IsTrue)
 				_ = conn.Close()
 			}
-			c.Check(server.Connections() <= n+maxRefusing, qt.IsTrue)
+			c.Check(server.Connections() <= n+refusing, qt.IsTrue)
 			c.Check(handler.all(), qt.HasLen, n)
 			close(handler.release)
 			for _, r := range accepted {
