--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -19,8 +20,8 @@
 	id         string
 	plan       quotation.Run
 	allocation *quotation.Allocation
-	// isReserved is set if the decode slot was reserved before the attempt began.
-	isReserved bool
+	// started is set to the successor that has sent the decode already, until its stream is relayed.
+	started *successor
 	// held lists the addresses of the engines that may hold memory for the attempt.
 	held []string
 	// exportExpiresAt is when the exported KV cache expires, less exportMargin.
@@ -41,10 +42,7 @@
 	}
 	if next := g.successor; next != nil {
 		g.successor = nil
-		a.id = next.id
-		a.allocation = next.allocation
-		a.isReserved = true
-		a.hold(run.Decode.Address)
+		next.adopt(a)
 	} else {
 		a.id = g.newAttemptID()
 		a.allocation = g.runner.deps.Placer.Allocate(run, time.Now())
@@ -57,16 +55,18 @@
 	if a.g.turn != nil {
 		a.g.turn.Placed()
 	}
-	kv, result, reason := a.prepare(ctx)
-	if result != resultDone {
-		return result, reason
-	}
-	result, reason = a.transfer(ctx, kv)
-	if result != resultDone {
-		return result, reason
-	}
-	if reason := a.g.checkPrompt(); reason != nil {
-		return resultStop, *reason
+	if a.started == nil {
+		kv, result, reason := a.prepare(ctx)
+		if result != resultDone {
+			return result, reason
+		}
+		result, reason = a.transfer(ctx, kv)
+		if result != resultDone {
+			return result, reason
+		}
+		if reason := a.g.checkPrompt(); reason != nil {
+			return resultStop, *reason
+		}
 	}
 	if a.g.prepared == 0 {
 		a.g.prepared = time.Since(a.g.startedAt)
@@ -180,7 +180,8 @@
 // handleError maps the error of a call to an engine to a result and a reason. It
 // reports full and failed engines to the placer, and excludes the engine from further
 // attempts unless it was full or the request ends: it is invalid or fenced, or its context
-// is done. A call that the engine didn't want now is not a failure of the engine.
+// is done. A call that the engine didn't want now is not a failure of the engine, nor is one
+// for which there was no memory. Only a stream that has begun waits for memory.
 func (a *attempt) handleError(ctx context.Context, step receipt.Step, address string, err error) (attemptResult, receipt.Reason) {
 	reason := receipt.Reason{
 		Code: receipt.CodeServerFailed,
@@ -202,6 +203,12 @@
 		reason.Code = receipt.CodeOverloaded
 		a.g.runner.deps.Placer.MarkFull(address, now)
 		return resultPlaceAgain, reason
+	case errors.Is(err, memory.ErrExhausted):
+		reason.Code = receipt.CodeNoMemory
+		if a.g.next == 0 {
+			return resultStop, reason
+		}
+		return resultPlaceAgain, reason
 	case errors.Is(err, kiln.ErrNotAdmitted):
 		a.g.exclude(address)
 		return resultPlaceAgain, reason
@@ -234,7 +241,8 @@
 
 // log logs the engines of an attempt and how it ended.
 func (a *attempt) log(result attemptResult, reason receipt.Reason, took time.Duration) {
-	if result == resultPlaceAgain && reason.Code == receipt.CodeOverloaded && reason.Step == receipt.StepReserve {
+	isFull := reason.Code == receipt.CodeOverloaded || reason.Code == receipt.CodeNoMemory
+	if result == resultPlaceAgain && isFull && reason.Step == receipt.StepReserve {
 		// A refused reservation is retried every few milliseconds, so each of them
 		// is counted rather than logged. The request's own log line has the wait.
 		a.g.runner.deps.Metrics.Count("reservations", "refused")
--- a/firing/deps.go
+++ b/firing/deps.go
@@ -85,6 +85,8 @@
 	// RecordFirstAttempt records the first attempt of a request and adds to the budget
 	// of its caller.
 	RecordFirstAttempt(caller string)
+	// Allows reports whether the budget of the caller allows a number of repeated calls.
+	Allows(caller string, calls int) bool
 	// Take reports whether the budget of the caller allows a number of repeated calls,
 	// and takes them from the budget if so.
 	Take(caller string, calls int) bool
@@ -148,7 +150,7 @@
 	// requests but drafts.
 	WaitMS int `json:"wait_ms"`
 	// ResumeWaitMS bounds the wait for an engine that continues an interrupted
-	// stream, measured from its last token. If zero, WaitMS applies.
+	// stream, measured from the interruption. If zero, WaitMS applies.
 	ResumeWaitMS int `json:"resume_wait_ms"`
 	// RetryAfterMS is the time after which refused callers are told to retry.
 	RetryAfterMS int `json:"retry_after_ms"`
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 
 	"github.com/balsamlock/balsamlock/common/event"
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
@@ -59,13 +59,16 @@
 	queued        time.Duration
 	prepared      time.Duration
 	lastTokenAt   time.Time
+	// lastRunEnd is when the last decode broke off. Until then, its engine may have been silent for
+	// long.
+	lastRunEnd time.Time
 	// lastPrefillAt is when a prefill was last sent.
 	lastPrefillAt time.Time
 	// hasPrefilled is set once an engine has accepted a prefill.
 	hasPrefilled bool
 	// retryPaid is set if the next retry has already been taken from the retry budget.
-	retryPaid atomic.Bool
-	// successor is the reservation of the next attempt, or nil.
+	retryPaid bool
+	// successor is the next attempt if it has been started already, or nil.
 	successor *successor
 	prefilled int
 	wasted    int
@@ -196,11 +199,13 @@
 		}
 		g.runner.deps.Metrics.Count("retries", string(reason.Step))
 	case resultPlaceAgain:
-		if g.req.Strict && reason.Step == receipt.StepPrefill && !errors.Is(reason.Err, kiln.ErrNotAdmitted) && !g.mayRetry() {
+		lacksMemory := errors.Is(reason.Err, memory.ErrExhausted)
+		isRefused := !lacksMemory && !errors.Is(reason.Err, kiln.ErrNotAdmitted)
+		if g.req.Strict && reason.Step == receipt.StepPrefill && isRefused && !g.mayRetry() {
 			return g.failureOutcome(reason)
 		}
 		g.tries--
-		if reason.Step == receipt.StepPrefill {
+		if reason.Step == receipt.StepPrefill || lacksMemory {
 			// A cancelled context is handled below.
 			_ = g.sleep(ctx, placeRetryInterval)
 		}
@@ -225,7 +230,8 @@
 	if g.tries >= g.runner.cfg.Tries {
 		return false
 	}
-	if g.retryPaid.Swap(false) || g.takeRetry() {
+	if g.retryPaid || g.takeRetry() {
+		g.retryPaid = false
 		return true
 	}
 	log.Warn().Str(event.Key, string(event.RetryRefused)).Str(event.ID, g.req.ID).Str("service", g.req.Caller).
@@ -236,21 +242,16 @@
 // takeRetry reports whether the retry budget allows one more attempt, and takes it from
 // the budget if so.
 func (g *generation) takeRetry() bool {
-	return g.runner.deps.Retries == nil || g.req.Class == ClassDraft ||
-		g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls())
+	return !g.needsBudget() || g.runner.deps.Retries.Take(g.req.Caller, g.retryCalls())
 }
 
-// prepayRetry is like mayRetry for an attempt that begins after the current one has been
-// cancelled. It may be called while that one runs, and more than once.
-func (g *generation) prepayRetry() bool {
-	if g.retryPaid.Load() {
-		return true
-	}
-	if g.tries >= g.runner.cfg.Tries || !g.takeRetry() {
-		return false
-	}
-	g.retryPaid.Store(true)
-	return true
+// allowsRetry is like takeRetry, but takes nothing from the budget.
+func (g *generation) allowsRetry() bool {
+	return !g.needsBudget() || g.runner.deps.Retries.Allows(g.req.Caller, g.retryCalls())
+}
+
+func (g *generation) needsBudget() bool {
+	return g.runner.deps.Retries != nil && g.req.Class != ClassDraft
 }
 
 // failureOutcome returns the outcome of a request whose answer is missing or
@@ -306,6 +307,18 @@
 
 func (g *generation) contextTokens() int { return g.req.Prompt.Tokens + g.next }
 
+func (g *generation) decodeRequest(attempt string, from int) kiln.DecodeRequest {
+	return kiln.DecodeRequest{
+		Attempt:   attempt,
+		Owner:     g.owner,
+		Model:     g.req.Model,
+		MaxTokens: g.req.MaxTokens,
+		From:      from,
+		Priority:  g.req.Priority,
+		Sampling:  g.req.Sampling,
+	}
+}
+
 func (g *generation) quotationRequest() quotation.Request {
 	return quotation.Request{
 		ID:           g.req.ID,
