firing: Keep no text of strict streams

A stream kept the text of all its tokens, so that its memory grew with its length, outside of every budget of memory. The platform's engines take the request unchanged and go on after the last event; nothing read the text.

--- a/firing/generation.go
+++ b/firing/generation.go
@@ -51,7 +51,7 @@
 	excluded []string
 
 	// next is the index of the next expected token. deliveredText is the text of
-	// all tokens before it.
+	// all tokens before it, unless the request is strict.
 	next          int
 	sequence      *receipt.Sequence
 	deliveredText strings.Builder
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -217,7 +217,10 @@
 	if a.g.next-a.firstIndex == startedTokens && a.g.runner.deps.Guard != nil {
 		a.g.runner.deps.Guard.Started(a.g.req.Prompt)
 	}
-	a.g.deliveredText.WriteString(frame.Text)
+	if !a.g.req.Strict {
+		// Streams of strict requests may be long, and their engines go on without the text.
+		a.g.deliveredText.WriteString(frame.Text)
+	}
 	return nil
 }
 
--- a/firing/request.go
+++ b/firing/request.go
@@ -53,7 +53,8 @@
 	// Strict is set for requests that are forwarded unchanged to engines that don't
 	// count a prefill as running the request, but count every decode they accepted.
 	// A decode that may have started is repeated only if Resumable is set, on at
-	// most MaxRuns engines in total, and is never reported as not run.
+	// most MaxRuns engines in total, and is never reported as not run. Its engines get
+	// no text of the tokens before.
 	Strict    bool
 	Resumable bool
 	MaxRuns   int
