--- a/common/ingress/footprint_test.go
+++ b/common/ingress/footprint_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -57,3 +59,33 @@
 	c.Check(bytes <= raceFactor*connectionBytes, qt.IsTrue, qt.Commentf("%d bytes", bytes))
 	c.Check(server.Connections(), qt.Equals, n+warmUp)
 }
+
+// Guards against requests in progress that occupy more memory than they are charged.
+func TestRequestInProgressFitsItsCharge(t *testing.T) {
+	c := qt.New(t)
+	const warmUp, n, headerBytes = 20, 200, 1500
+	handler := newBlocker()
+	server, address := startServer(c, handler.handle)
+	var conns []net.Conn
+	for range warmUp + n {
+		conn, _ := dialKept(c, address, false)
+		conns = append(conns, conn)
+	}
+	raw := "GET /a HTTP/1.1\r\nHost: a\r\nX-Long: " + strings.Repeat("x", headerBytes) + "\r\n\r\n"
+	send := func(conns []net.Conn) {
+		active := server.Active() + int64(len(conns))
+		for _, conn := range conns {
+			_, err := io.WriteString(conn, raw)
+			c.Assert(err, qt.IsNil)
+		}
+		eventually(c, func() bool { return server.Active() == active })
+	}
+	send(conns[:warmUp])
+	before := heldBytes()
+	send(conns[warmUp:])
+	eventually(c, func() bool { return len(handler.all()) == len(conns) })
+	bytes := (heldBytes() - before) / n
+	c.Logf("%d bytes for each request", bytes)
+	c.Check(bytes <= raceFactor*(requestBytes+headerCopies*int64(len(raw))), qt.IsTrue, qt.Commentf("%d bytes", bytes))
+	close(handler.release)
+}
