common/ingress: Charge for the fields of a header

A request was charged by the bytes of its header.

The charge has a part for each field above 32 now. The charge of usual requests is unchanged.

--- a/common/ingress/admission.go
+++ b/common/ingress/admission.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"bytes"
 	"math"
 	"net/http"
 
@@ -15,6 +16,10 @@
 	requestBytes = 32 << 10
 	// headerCopies is the number of copies of its header that a request in progress holds.
 	headerCopies = 4
+	// fieldBytes is the memory of a header field in each copy besides its bytes. It is charged
+	// for fields above usualFields, which requestBytes covers.
+	fieldBytes  = 112
+	usualFields = 32
 	// maxRefusing is the number of connections beyond the limits that are accepted at the same
 	// time to refuse a request each.
 	maxRefusing = 64
@@ -122,15 +127,21 @@
 	return b
 }
 
-// admitRequest admits a request with a header of n bytes. It returns the number of bytes to
-// pass to endRequest, or 0 if the request must be refused.
-func (a *admission) admitRequest(headerBytes int) int64 {
-	charge := int64(requestBytes + headerCopies*headerBytes)
+// admitRequest admits a request with a charge. It returns the number of bytes to pass to
+// endRequest, or 0 if the request must be refused.
+func (a *admission) admitRequest(charge int64) int64 {
 	if !a.requests.Take(charge) {
 		return 0
 	}
 	return charge
 }
 
+// requestCharge returns the memory that a request with a header occupies besides its body.
+func requestCharge(header []byte) int64 {
+	fields := bytes.Count(header, []byte("\n"))
+	copied := len(header) + fieldBytes*max(0, fields-usualFields)
+	return int64(requestBytes + headerCopies*copied)
+}
+
 // endRequest ends a request.
 func (a *admission) endRequest(charge int64) { a.requests.Return(charge) }
--- a/common/ingress/admission_test.go
+++ b/common/ingress/admission_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -64,16 +65,46 @@
 	c := qt.New(t)
 	requests := memory.NewBudget(2*requestBytes + headerCopies*1000)
 	a := newAdmission(Deps{Requests: requests})
-	first := a.admitRequest(100)
+	charge := func(n int) int64 {
+		return requestCharge([]byte("GET / HTTP/1.1\r\nA: " + strings.Repeat("a", n-25) + "\r\n\r\n"))
+	}
+	first := a.admitRequest(charge(100))
 	c.Check(first > requestBytes, qt.IsTrue)
-	c.Check(a.admitRequest(2000), qt.Equals, int64(0))
-	second := a.admitRequest(100)
+	c.Check(a.admitRequest(charge(2000)), qt.Equals, int64(0))
+	second := a.admitRequest(charge(100))
 	c.Check(second, qt.Equals, first)
 	a.endRequest(first)
 	a.endRequest(second)
 	c.Check(requests.Used(), qt.Equals, int64(0))
 }
 
+// Guards against headers of many short fields, which occupy far more memory than they have bytes.
+func TestHeaderOfManyFieldsFitsItsCharge(t *testing.T) {
+	c := qt.New(t)
+	var raw strings.Builder
+	raw.WriteString("GET / HTTP/1.1\r\nHost: a\r\n")
+	const fields = 2500
+	for i := range fields {
+		_, _ = fmt.Fprintf(&raw, "%x:\r\n", 0x100+i)
+	}
+	raw.WriteString("\r\n")
+	before := heldBytes()
+	const n = 20
+	var held [n][headerCopies]http.Header
+	for i := range n {
+		req, err := http.ReadRequest(bufio.NewReader(strings.NewReader(raw.String())))
+		c.Assert(err, qt.IsNil)
+		held[i][0] = req.Header
+		for j := 1; j < headerCopies; j++ {
+			held[i][j] = req.Header.Clone()
+		}
+	}
+	bytes := (heldBytes() - before) / n
+	runtime.KeepAlive(&held)
+	charge := requestCharge([]byte(raw.String()))
+	c.Check(bytes <= charge, qt.IsTrue, qt.Commentf("%d bytes, charged with %d", bytes, charge))
+}
+
 // Guards against requests in progress whose number grows with their callers.
 func TestRequestBeyondTheBudgetIsRefusedAsNotRun(t *testing.T) {
 	c := qt.New(t)
--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -155,7 +155,7 @@
 		return Exchange{}, rejection
 	}
 	arrived := time.Now()
-	headerBytes := len(header)
+	charge := requestCharge(header)
 	if !isUnambiguous(header) {
 		return Exchange{}, Rejection{Status: http.StatusBadRequest}
 	}
@@ -168,7 +168,7 @@
 		Target:  req.RequestURI,
 		Arrived: arrived,
 	}
-	c.requestCharge = c.server.admission.admitRequest(headerBytes)
+	c.requestCharge = c.server.admission.admitRequest(charge)
 	if c.requestCharge == 0 {
 		return x, Rejection{
 			Status:  http.StatusServiceUnavailable,
