common/ingress: Answer requests that arrive during an eviction

A connection that makes room is closed unless the kernel holds bytes that weren't read. A request whose first bytes had just been read, but whose goroutine hadn't gone on, was closed without a response.

An eviction now ends the wait for a request, and the connection closes itself. What arrived by then is refused with 503 and Retry-After. The deadline is set before a connection counts as idle, so that it doesn't replace that of an eviction.

TestRequestThatArrivesDuringEvictionIsAnswered: unexpected EOF before, passes with the change.

--- a/common/ingress/conn.go
+++ b/common/ingress/conn.go
@@ -94,6 +94,9 @@
 	limits := c.server.deps.Limits()
 	c.shrinkReadBuffer()
 	if c.reader.Buffered() == 0 && !c.awaitRequest(limits.IdleTimeout) {
+		if c.reader.Buffered() > 0 {
+			c.refuseNext()
+		}
 		return false
 	}
 	c.server.active.Add(1)
@@ -122,17 +125,17 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false if the connection was
-// closed meanwhile.
+// closed or evicted meanwhile.
 func (c *conn) awaitRequest(timeout time.Duration) bool {
 	now := time.Now()
 	c.idleSince.Store(int64(now.Sub(c.server.started)))
-	c.idle.Store(true)
 	_ = c.netConn.SetReadDeadline(now.Add(timeout))
+	c.idle.Store(true)
 	if c.server.finishing.Load() {
 		_ = c.netConn.SetReadDeadline(pastDeadline)
 	}
 	_, err := c.reader.Peek(1)
-	if isTimeout(err) && c.server.finishing.Load() {
+	if isTimeout(err) && (c.server.finishing.Load() || !c.idle.Load()) {
 		// The wait may have ended although a request has arrived. A new deadline makes
 		// the next one read first.
 		_ = c.netConn.SetReadDeadline(time.Now().Add(lastRequestDelay))
--- a/common/ingress/evict.go
+++ b/common/ingress/evict.go
@@ -56,13 +56,14 @@
 	}
 }
 
-// evict closes the connection unless it has a request, or bytes of one.
+// evict makes the connection close unless it has a request, or bytes of one. A request whose first
+// bytes are read meanwhile is refused.
 func (c *conn) evict() {
 	if hasUnreadBytes(c.netConn) || !c.idle.CompareAndSwap(true, false) {
 		return
 	}
 	c.endCharge()
-	_ = c.netConn.Close()
+	_ = c.netConn.SetReadDeadline(pastDeadline)
 }
 
 // hasUnreadBytes reports whether the kernel has received bytes that were not read.
--- a/common/ingress/evict_test.go
+++ b/common/ingress/evict_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -177,3 +178,49 @@
 	_ = conn.Close()
 	eventually(c, func() bool { return budget.Used() == 0 })
 }
+
+// arrivingConn is a connection on which arrive is called when bytes are received, once it is armed.
+type arrivingConn struct {
+	net.Conn
+	armed  atomic.Bool
+	arrive func()
+}
+
+func (c *arrivingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.armed.Swap(false) {
+		c.arrive()
+	}
+	return n, err
+}
+
+// Guards against a request that has been received and gets no response because its connection makes room at this moment.
+func TestRequestThatArrivesDuringEvictionIsAnswered(t *testing.T) {
+	c := qt.New(t)
+	server := NewServer(Deps{
+		Handler:      respondWith(10),
+		Limits:       testLimits,
+		WriteTimeout: time.Second,
+	})
+	defer server.Close()
+	ours, theirs := net.Pipe()
+	conn := &arrivingConn{Conn: ours}
+	conn.arrive = func() {
+		server.mu.Lock()
+		defer server.mu.Unlock()
+		for c := range server.conns {
+			c.evict()
+		}
+	}
+	server.startConn(conn)
+	_ = theirs.SetDeadline(time.Now().Add(5 * time.Second))
+	r := bufio.NewReader(theirs)
+	resp, _ := roundTrip(c, theirs, r, getRequest)
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusOK)
+	eventually(c, func() bool { return server.Active() == 0 })
+	conn.armed.Store(true)
+	resp, _ = roundTrip(c, theirs, r, getRequest)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(resp.Header.Get("Retry-After"), qt.Equals, "0.5")
+	c.Check(resp.Close, qt.IsTrue)
+}
