firing: Release exports whose decode was refused

An attempt of a strict request gave up its hold on the export once the transfer was done. On the platform a transfer is only noted; the decode fetches the export. If the decode was refused or not sent, nobody released the export, which kept memory on its server until it expired, and its record in the instance was kept for ever: memory that grows with each refused decode.

Strict requests, and streams that are moved, now hold the export until they end. A decode that was accepted has removed the record, so that no further call is made for it.

--- a/firing/steps.go
+++ b/firing/steps.go
@@ -104,12 +104,15 @@
 const exportMargin = 50 * time.Millisecond
 
 // transfer moves the KV cache to the decode engine. If that fails, it tries other
-// decode engines until the export expires.
+// decode engines until the export expires. The export of a strict request is held on, since
+// its decode takes it.
 func (a *attempt) transfer(ctx context.Context, kv kiln.PrefillResult) (attemptResult, receipt.Reason) {
 	for {
 		result, reason := a.transferOnce(ctx, kv)
 		if result == resultDone {
-			a.releaseExport()
+			if !a.g.req.Strict {
+				a.releaseExport()
+			}
 			return result, reason
 		}
 		if result == resultStop || a.g.runner.cfg.Policy.NoSecondTransfer {
--- a/firing/strict_test.go
+++ b/firing/strict_test.go
@@ -348,3 +348,22 @@
 		c.Assert(calls-2*requests > 0, qt.IsTrue)
 	})
 }
+
+// Guards against an export that is never released because its decode was refused.
+func TestExportIsReleasedWhenDecodeIsRefused(t *testing.T) {
+	inStrictBubble(t, false, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.decodeErr = engine.refuse("decode", kiln.ErrFull)
+		}
+		ctx, stop := context.WithTimeout(c.Context(), 5*time.Second)
+		defer stop()
+		result := runner.Run(ctx, strictRequest("r1", true), &collector{})
+		_, notRun := result.Outcome.(receipt.NotRun)
+		c.Check(notRun, qt.IsTrue)
+		time.Sleep(time.Second)
+		for _, engine := range engines.engines {
+			c.Check(engine.count("cancel") >= engine.count("prefill"), qt.IsTrue,
+				qt.Commentf("%s: %d prefills, %d cancels", engine.address, engine.count("prefill"), engine.count("cancel")))
+		}
+	})
+}
--- a/firing/successor.go
+++ b/firing/successor.go
@@ -164,8 +164,7 @@
 	a.id = s.id
 	a.allocation = s.allocation
 	a.started = s
-	// The export is taken.
-	a.hold(s.plan.Decode.Address)
+	a.held = s.held
 	a.computed = s.kv.Computed
 	s.recordPrefill()
 }
