logbook: Count the time to write queued lines from Close

The writer chose at random between queued lines and the end, so that the time began after some more lines, and the last line and the report came after Close had returned.

--- a/common/logbook/logbook.go
+++ b/common/logbook/logbook.go
@@ -87,6 +87,8 @@
 	closing   chan struct{}
 	done      chan struct{}
 	closeOnce sync.Once
+	// flushBy is the end of the time to write queued lines. It is set before closing is closed.
+	flushBy time.Time
 
 	routine   lineClass
 	warnings  lineClass
@@ -145,7 +147,10 @@
 // Close waits a short time for the queued lines to be written. Lines logged after
 // Close are lost.
 func (w *Writer) Close() {
-	w.closeOnce.Do(func() { close(w.closing) })
+	w.closeOnce.Do(func() {
+		w.flushBy = time.Now().Add(flushTimeout)
+		close(w.closing)
+	})
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout):
@@ -179,14 +184,14 @@
 	}
 }
 
-// flush writes the queued lines for flushTimeout. It drops and counts the others except
-// for the last one, which tells how the process ends.
+// flush writes the queued lines until flushBy. It drops and counts the others except for
+// the last one, which tells how the process ends.
 func (w *Writer) flush() {
 	var last queuedLine
-	for start := time.Now(); ; {
+	for {
 		select {
 		case line := <-w.queue:
-			if time.Since(start) < flushTimeout {
+			if time.Now().Before(w.flushBy) {
 				w.writeLine(line)
 				continue
 			}
