firing: Let a stream that has begun wait for memory

A stream whose engine broke while the instance had no memory for another request to a server was cut after three decodes that were never sent: a lack of memory counted as a refusal by the engine, which uses a try. Such a decode now counts as not tried, and the stream is placed again after a pause.

TestStreamThatHasBegunWaitsForMemory: receipt.Cut with 5 of 30 tokens before, all 30 now.

--- a/firing/move_test.go
+++ b/firing/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -9,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/firing"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/quotation"
@@ -174,3 +176,31 @@
 		c.Check(budget.taken.Load(), qt.Equals, int64(0))
 	})
 }
+
+// Guards against a stream that has begun and is cut because there is no memory for its next decodes.
+func TestStreamThatHasBegunWaitsForMemory(t *testing.T) {
+	inStrictBubble(t, true, func(c *qt.C, engines *fakeCluster, runner *firing.Runner) {
+		for _, engine := range engines.engines {
+			engine.preemptedFor = 1500 * time.Millisecond
+		}
+		engines.setLater(func(e *fakeEngine) {
+			e.decodeErr = fmt.Errorf("send: %w", memory.ErrExhausted)
+			e.streamErr = errBroken
+		})
+		time.AfterFunc(2500*time.Millisecond, func() {
+			for _, engine := range engines.engines {
+				engine.mu.Lock()
+				engine.decodeErr = nil
+				engine.streamErr = nil
+				engine.preemptedFor = 0
+				engine.mu.Unlock()
+			}
+		})
+		ctx, stop := context.WithTimeout(c.Context(), 14*time.Second)
+		defer stop()
+		sink := &collector{}
+		result := runner.Run(ctx, strictRequest("r1", true), sink)
+		c.Assert(result.Outcome, qt.DeepEquals, receipt.Outcome(receipt.Answered{Status: 200}))
+		c.Assert(sink.frames, qt.HasLen, 30)
+	})
+}
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"time"
 
+	"github.com/balsamlock/balsamlock/common/memory"
 	"github.com/balsamlock/balsamlock/common/metrics"
 	"github.com/balsamlock/balsamlock/kiln"
 	"github.com/balsamlock/balsamlock/receipt"
@@ -56,13 +57,14 @@
 }
 
 // handleDecodeError maps the error of a decode to a result and a reason. The KV cache
-// is lost with the engine's memory, so a refusal counts as a failure, too.
+// is lost with the engine's memory, so a refusal counts as a failure, too. A decode that was
+// not sent for lack of memory doesn't.
 func (a *attempt) handleDecodeError(ctx context.Context, address string, err error) (attemptResult, receipt.Reason) {
 	a.g.recordRun(err)
 	a.g.lastRunEnd = time.Now()
 	a.reportBreak(ctx, err)
 	result, reason := a.handleError(ctx, receipt.StepDecode, address, err)
-	if result == resultPlaceAgain {
+	if result == resultPlaceAgain && !errors.Is(err, memory.ErrExhausted) {
 		result = resultRetry
 	}
 	if result == resultRetry && !a.g.mayRunAgain() {
