review: Keep the ports of a case out of the kernel's range

A machine that was restarting could find its port taken by an outgoing channel; the case then couldn't run (exit code 2, once, with TROUBLE=0).

--- a/review/.kit-2/rig.go
+++ b/review/.kit-2/rig.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -52,11 +53,30 @@
 	}
 }
 
+// Ports are below those that the kernel gives to outgoing channels, which could take the port of a machine that is
+// restarting.
+const (
+	firstPort = 12000
+	lastPort  = 28000
+)
+
+// usedPorts are the ports that freeAddress returned.
+var usedPorts = map[int]bool{}
+
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	check(err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if usedPorts[port] {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		usedPorts[port] = true
+		return l.Addr().String()
+	}
 }
 
 // server is a stand-in of a worker of a plain service.
@@ -270,6 +290,9 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
+	if raw, err := os.ReadFile(g.file + ".log"); err == nil {
+		note("log of %s:\n%s", g.name, raw)
+	}
 	fail("%s was not ready within 10 s", g.name)
 }
 
