review: Show orders that are refused although they have run

Claim: the status line of an earlier refusal, without its end, on a kept connection makes the gateway tell the client 503 for a non-idempotent order that the worker has run and answered (REFUSED).

--- a/review/.kit-3/main.go
+++ b/review/.kit-3/main.go
@@ -12,7 +12,8 @@
 
 // cases maps names to functions that return what broke the rule, or nothing if it held.
 var cases = map[string]func(s *site, trouble bool) (broken []string, err error){
-	"torn-refusal": tornRefusal,
+	"torn-field":       tornField,
+	"torn-status-line": tornStatusLine,
 }
 
 func main() {
--- a/review/.kit-3/torn.go
+++ b/review/.kit-3/torn.go
@@ -15,9 +15,22 @@
 	tornOrders  = 60
 )
 
-// tornRefusal sends orders to a plain service of which one worker is faulty: it writes the beginning of an
-// earlier refusal once more on a kept connection, before its answer to the next request.
-func tornRefusal(s *site, trouble bool) ([]string, error) {
+// The pieces of an earlier refusal that the faulty worker writes: up to the middle of its first field, and up to
+// the end of its status line.
+const (
+	pieceInField      = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotExecuted + ": 1"
+	pieceInStatusLine = "HTTP/1.1 503 Service Unavailable"
+)
+
+func tornField(s *site, trouble bool) ([]string, error) { return tornRefusal(s, trouble, pieceInField) }
+
+func tornStatusLine(s *site, trouble bool) ([]string, error) {
+	return tornRefusal(s, trouble, pieceInStatusLine)
+}
+
+// tornRefusal sends orders to a plain service of which one worker is faulty: it writes a piece of an earlier
+// refusal once more on a kept connection, before its answer to the next request.
+func tornRefusal(s *site, trouble bool, piece string) ([]string, error) {
 	var mu sync.Mutex
 	runs := map[string][]string{}
 	tears, served := 0, 0
@@ -51,7 +64,7 @@
 		mu.Unlock()
 		if tear {
 			s.log("%s writes a truncated copy of an earlier refusal before the answer to %s", w.id, r.id)
-			fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\n%s: 1", headerNotExecuted)
+			fmt.Fprint(c, piece)
 		}
 		run(w, c, r)
 		return true
