review: Show failures of a worker that reach the client as successes

Claim: the beginning of an earlier success, cut off inside a field, before a worker's 500 on a kept connection gives the client status 200 with the seal and the body of the failure (MIXED).

--- a/review/.kit-3/main.go
+++ b/review/.kit-3/main.go
@@ -14,6 +14,7 @@
 var cases = map[string]func(s *site, trouble bool) (broken []string, err error){
 	"torn-field":       tornField,
 	"torn-status-line": tornStatusLine,
+	"torn-success":     tornSuccess,
 }
 
 func main() {
--- a/review/.kit-3/torn.go
+++ b/review/.kit-3/torn.go
@@ -9,68 +9,93 @@
 )
 
 const (
-	// tornEvery is one in how many answers of the faulty worker is preceded by additional bytes.
+	// tornEvery is one in how many answers of the faulty worker is preceded by additional bytes, and one in how many
+	// orders is answered with a failure if the case has failures.
 	tornEvery   = 20
 	tornClients = 14
 	tornOrders  = 60
 )
 
-// The pieces of an earlier refusal that the faulty worker writes: up to the middle of its first field, and up to
-// the end of its status line.
-const (
-	pieceInField      = "HTTP/1.1 503 Service Unavailable\r\n" + headerNotExecuted + ": 1"
-	pieceInStatusLine = "HTTP/1.1 503 Service Unavailable"
+// torn is a disruption: what the faulty worker writes on a kept connection before its answer.
+type torn struct {
+	// piece is the beginning of an earlier response.
+	piece string
+	// fails is set if the workers answer some orders with a failure. The piece then comes before such an answer.
+	fails bool
+}
+
+// The pieces end in the first field of a refusal, in its status line, and in the first field of a success.
+var (
+	pieceInField      = torn{piece: "HTTP/1.1 503 Service Unavailable\r\n" + headerNotExecuted + ": 1"}
+	pieceInStatusLine = torn{piece: "HTTP/1.1 503 Service Unavailable"}
+	pieceOfSuccess    = torn{piece: "HTTP/1.1 200 OK\r\nContent-Type: text/pl", fails: true}
 )
 
-func tornField(s *site, trouble bool) ([]string, error) { return tornRefusal(s, trouble, pieceInField) }
+func tornField(s *site, trouble bool) ([]string, error) { return tornAnswers(s, trouble, pieceInField) }
 
 func tornStatusLine(s *site, trouble bool) ([]string, error) {
-	return tornRefusal(s, trouble, pieceInStatusLine)
+	return tornAnswers(s, trouble, pieceInStatusLine)
 }
 
-// tornRefusal sends orders to a plain service of which one worker is faulty: it writes a piece of an earlier
-// refusal once more on a kept connection, before its answer to the next request.
-func tornRefusal(s *site, trouble bool, piece string) ([]string, error) {
-	var mu sync.Mutex
-	runs := map[string][]string{}
-	tears, served := 0, 0
-	running := map[string]int{}
-	run := func(w *worker, c net.Conn, r request) {
-		mu.Lock()
-		running[w.id]++
-		runs[r.id] = append(runs[r.id], w.id)
-		mu.Unlock()
-		s.log("%s runs %s", w.id, r.id)
-		time.Sleep(20 * time.Millisecond)
-		mu.Lock()
-		running[w.id]--
-		load := fmt.Sprintf("%d,0,%d", running[w.id], w.slots)
-		mu.Unlock()
-		body := "booked " + r.id + " at " + w.id
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: seal.%s\r\nBalsamlock-Server-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
-			headerID, r.id, headerSeal, w.id, load, len(body), body)
+func tornSuccess(s *site, trouble bool) ([]string, error) {
+	return tornAnswers(s, trouble, pieceOfSuccess)
+}
+
+// desk is a plain service of three workers that book orders.
+type desk struct {
+	site    *site
+	torn    torn
+	trouble bool
+
+	mu sync.Mutex
+	// runs holds the workers that have run each order, failed the orders that a worker has answered with 500.
+	runs    map[string][]string
+	failed  map[string]bool
+	running map[string]int
+	served  map[string]int
+}
+
+// book runs an order and answers it. A faulty worker may write the piece first.
+func (d *desk) book(w *worker, c net.Conn, r request, faulty bool) bool {
+	d.mu.Lock()
+	d.runs[r.id] = append(d.runs[r.id], w.id)
+	d.running[w.id]++
+	d.served[w.id]++
+	turn := d.served[w.id]%tornEvery == 0
+	fails := d.torn.fails && turn
+	if fails {
+		d.failed[r.id] = true
 	}
-	sound := func(w *worker, c net.Conn, r request) bool {
-		run(w, c, r)
-		return true
+	d.mu.Unlock()
+	if d.trouble && faulty && turn && r.n > 1 {
+		d.site.log("%s writes a truncated copy of an earlier response before the answer to %s", w.id, r.id)
+		fmt.Fprint(c, d.torn.piece)
 	}
-	faulty := func(w *worker, c net.Conn, r request) bool {
-		mu.Lock()
-		served++
-		tear := trouble && r.n > 1 && served%tornEvery == 0
-		if tear {
-			tears++
-		}
-		mu.Unlock()
-		if tear {
-			s.log("%s writes a truncated copy of an earlier refusal before the answer to %s", w.id, r.id)
-			fmt.Fprint(c, piece)
-		}
-		run(w, c, r)
-		return true
+	d.site.log("%s runs %s", w.id, r.id)
+	time.Sleep(20 * time.Millisecond)
+	d.mu.Lock()
+	d.running[w.id]--
+	load := fmt.Sprintf("%d,0,%d", d.running[w.id], w.slots)
+	d.mu.Unlock()
+	status, body := http.StatusOK, "booked "+r.id+" at "+w.id
+	if fails {
+		status, body = http.StatusInternalServerError, "not booked "+r.id+" at "+w.id
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d %s\r\n%s: %s\r\n%s: seal.%s\r\nBalsamlock-Server-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), headerID, r.id, headerSeal, w.id, load, len(body), body)
+	return err == nil
+}
+
+// tornAnswers sends orders to a plain service of which one worker is faulty: it writes the beginning of an earlier
+// response once more on a kept connection, before its answer to the next request.
+func tornAnswers(s *site, trouble bool, t torn) ([]string, error) {
+	d := &desk{
+		site: s, torn: t, trouble: trouble,
+		runs: map[string][]string{}, failed: map[string]bool{}, running: map[string]int{}, served: map[string]int{},
 	}
 	s.store.put("keyed.op", "config", manifest(7))
-	for n, handle := range []func(w *worker, c net.Conn, r request) bool{faulty, sound, sound} {
+	for n := range 3 {
+		handle := func(w *worker, c net.Conn, r request) bool { return d.book(w, c, r, n == 0) }
 		if _, err := s.startWorker(fmt.Sprintf("i-desk%d", n+1), "desk", "", handle); err != nil {
 			return nil, err
 		}
@@ -82,9 +107,22 @@
 	if err := g.awaitReady(10 * time.Second); err != nil {
 		return nil, err
 	}
+	answers := sendOrders(s, g)
+	time.Sleep(200 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	var broken []string
-	answers := map[string]response{}
+	for id, answer := range answers {
+		broken = append(broken, d.check(id, answer)...)
+	}
+	return broken, nil
+}
+
+// sendOrders sends orders of several clients, each on a kept connection, and returns their answers.
+func sendOrders(s *site, g *gateway) map[string]response {
+	var mu sync.Mutex
 	var clients sync.WaitGroup
+	answers := map[string]response{}
 	for c := range tornClients {
 		clients.Go(func() {
 			cl := &client{address: g.listen}
@@ -100,17 +138,25 @@
 		})
 	}
 	clients.Wait()
-	time.Sleep(200 * time.Millisecond)
-	mu.Lock()
-	defer mu.Unlock()
-	for id, answer := range answers {
-		if len(runs[id]) > 1 {
-			broken = append(broken, fmt.Sprintf("TWICE: %s ran at %v", id, runs[id]))
+	return answers
+}
+
+// check returns which rules the answer to an order breaks.
+func (d *desk) check(id string, answer response) []string {
+	var broken []string
+	runs := d.runs[id]
+	if len(runs) > 1 {
+		broken = append(broken, fmt.Sprintf("TWICE: %s ran at %v", id, runs))
+	}
+	switch answer.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if len(runs) > 0 {
+			broken = append(broken, fmt.Sprintf("REFUSED: %s was answered %d and has run at %v", id, answer.status, runs))
 		}
-		refused := answer.status == 503 || answer.status == 429 || answer.status == 408 || answer.status == 421
-		if refused && len(runs[id]) > 0 {
-			broken = append(broken, fmt.Sprintf("REFUSED: %s was answered %d and has run at %v", id, answer.status, runs[id]))
+	case http.StatusOK:
+		if d.failed[id] {
+			broken = append(broken, fmt.Sprintf("MIXED: %s was answered %s, and the worker had answered with 500", id, answer))
 		}
 	}
-	return broken, nil
+	return broken
 }
