review: Show a draft that runs at two workers at the same time

Claim: if the answer of the worker at which a silent stream goes on is lost, the gateway keeps the run before, which is still at work over 400 ms later (TWICE, model workers).

--- a/review/.kit-3/kit.go
+++ b/review/.kit-3/kit.go
@@ -191,6 +191,8 @@
 	id   string
 	// n is the number of the request on its connection, from 1.
 	n int
+	// reader reads the connection after the request.
+	reader *bufio.Reader
 }
 
 // worker is a server that writes its answers byte by byte.
@@ -268,7 +270,7 @@
 			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nBalsamlock-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", w.id)
 			continue
 		}
-		if !w.handle(w, c, request{Request: r, body: body, id: r.Header.Get(headerID), n: n}) {
+		if !w.handle(w, c, request{Request: r, body: body, id: r.Header.Get(headerID), n: n, reader: reader}) {
 			return
 		}
 	}
--- a/review/.kit-3/main.go
+++ b/review/.kit-3/main.go
@@ -15,6 +15,7 @@
 	"torn-field":       tornField,
 	"torn-status-line": tornStatusLine,
 	"torn-success":     tornSuccess,
+	"lost-move":        lostMove,
 }
 
 func main() {
