review: Make the cases 11 to 13 use all three workers

With 14 clients the gateway could leave the faulty worker nearly without orders: one run of case 12 ended with 0 broken. 18 clients need all three workers of 6 slots.

--- a/review/.kit-3/torn.go
+++ b/review/.kit-3/torn.go
@@ -12,8 +12,8 @@
 	// tornEvery is one in how many answers of the faulty worker is preceded by additional bytes, and one in how many
 	// orders is answered with a failure if the case has failures.
 	tornEvery   = 20
-	tornClients = 14
-	tornOrders  = 60
+	tornClients = 18
+	tornOrders  = 48
 )
 
 // torn is a disruption: what the faulty worker writes on a kept connection before its answer.
