--- a/review/.kit-3/kit.go
+++ b/review/.kit-3/kit.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -97,8 +98,8 @@
 	return l.Addr().String()
 }
 
-// startGateway starts a gateway with the settings that the template renders for a small deployment.
-func (s *site) startGateway(name string) (*gateway, error) {
+// startGateway starts a gateway with the settings that the template renders for a small deployment, and changes of them.
+func (s *site) startGateway(name string, changes map[string]any) (*gateway, error) {
 	g := &gateway{
 		site:    s,
 		name:    name,
@@ -124,6 +125,7 @@
 		"drain_ms":       2500,
 		"retries":        map[string]any{"ratio": 0.2, "slack": 52, "window_ms": 10000, "reserve": 0.25},
 	}
+	maps.Copy(settings, changes)
 	raw, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
--- a/review/.kit-3/lostmove.go
+++ b/review/.kit-3/lostmove.go
@@ -57,7 +57,7 @@
 		w.slots = 12
 		w.beat()
 	}
-	g, err := s.startGateway("front-1")
+	g, err := s.startGateway("front-1", nil)
 	if err != nil {
 		return nil, err
 	}
--- a/review/.kit-3/main.go
+++ b/review/.kit-3/main.go
@@ -16,6 +16,7 @@
 	"torn-status-line": tornStatusLine,
 	"torn-success":     tornSuccess,
 	"lost-move":        lostMove,
+	"old-report":       oldReport,
 }
 
 func main() {
--- a/review/.kit-3/store.go
+++ b/review/.kit-3/store.go
@@ -32,11 +32,60 @@
 
 func (p *partition) end() uint64 { return p.first + uint64(len(p.records)) }
 
-// group is a consumer group. Members lapse after their lifetime.
+// group is a consumer group. Members lapse after their lifetime. The partitions are dealt evenly in the order of the
+// members' names.
 type group struct {
 	generation uint64
 	members    map[string]time.Time
 	topics     []string
+	// owners are the members that hold the partitions. One that is to be another's stays with its owner until that has
+	// been told, and has joined with the generation since which it isn't listed any more.
+	owners [partsPerTopic]string
+}
+
+// due returns the member that a partition is dealt to.
+func (g *group) due(n int) string {
+	var names []string
+	for member := range g.members {
+		names = append(names, member)
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	sort.Strings(names)
+	return names[n%len(names)]
+}
+
+// expire removes the members whose lifetime is over.
+func (g *group) expire(now time.Time) {
+	for member, until := range g.members {
+		if now.After(until) {
+			g.remove(member)
+		}
+	}
+}
+
+func (g *group) remove(member string) {
+	if _, known := g.members[member]; known {
+		delete(g.members, member)
+		g.generation++
+	}
+}
+
+// deal passes on the partitions of members that are gone, and those that a member has given up by joining with the
+// current generation. It returns the partitions that the member holds.
+func (g *group) deal(member string, generation uint64) []int {
+	var held []int
+	for n := range g.owners {
+		_, alive := g.members[g.owners[n]]
+		if !alive || g.owners[n] == member && generation >= g.generation {
+			g.owners[n] = g.due(n)
+		}
+		if g.owners[n] == member && g.due(n) == member {
+			held = append(held, n)
+		}
+	}
+	return held
 }
 
 // store is a stand-in for the platform's metadata store.
@@ -259,28 +308,16 @@
 		s.groups[body.Group] = g
 	}
 	now := time.Now()
-	for member, until := range g.members {
-		if now.After(until) {
-			delete(g.members, member)
-			g.generation++
-		}
-	}
+	g.expire(now)
 	if _, known := g.members[body.Member]; !known {
 		g.generation++
 	}
 	g.members[body.Member] = now.Add(time.Duration(body.TTLMS) * time.Millisecond)
 	g.topics = body.Topics
-	var names []string
-	for member := range g.members {
-		names = append(names, member)
-	}
-	sort.Strings(names)
 	rows := [][]any{}
-	for n := range partsPerTopic {
-		if names[n%len(names)] == body.Member {
-			for _, topic := range g.topics {
-				rows = append(rows, []any{topic, n, 0})
-			}
+	for _, n := range g.deal(body.Member, body.Generation) {
+		for _, topic := range g.topics {
+			rows = append(rows, []any{topic, n, 0})
 		}
 	}
 	reply(w, http.StatusOK, map[string]any{"generation": g.generation, "ttl-ms": body.TTLMS, "parts": rows})
@@ -294,10 +331,7 @@
 	_ = json.NewDecoder(r.Body).Decode(&body)
 	s.mu.Lock()
 	if g, ok := s.groups[body.Group]; ok {
-		if _, known := g.members[body.Member]; known {
-			delete(g.members, body.Member)
-			g.generation++
-		}
+		g.remove(body.Member)
 	}
 	s.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{})
--- a/review/.kit-3/torn.go
+++ b/review/.kit-3/torn.go
@@ -100,7 +100,7 @@
 			return nil, err
 		}
 	}
-	g, err := s.startGateway("front-1")
+	g, err := s.startGateway("front-1", nil)
 	if err != nil {
 		return nil, err
 	}
