--- a/review/.kit-3/oldreport.go
+++ b/review/.kit-3/oldreport.go
@@ -166,23 +166,38 @@
 		if err != nil {
 			return err
 		}
-		peer := freeAddress()
-		r.gates, r.peers = append(r.gates, gate), append(r.peers, peer)
-		_, err = r.startGateway(fmt.Sprintf("front-%s-%d", zone, n%zoneGateways+1), map[string]any{
+		r.gates = append(r.gates, gate)
+		name := fmt.Sprintf("front-%s-%d", zone, n%zoneGateways+1)
+		if err := r.startReady(name, map[string]any{
 			"data_centre": zone, "region": regions[zone], "regions": regions,
-			"store": gate.addr, "peer_listen": peer, "memory_mb": 229, "apply_ms": 4000, "drain_ms": 4000,
+			"store": gate.addr, "memory_mb": 229, "apply_ms": 4000, "drain_ms": 4000,
 			"retries": map[string]any{"ratio": 0.2, "slack": 218, "window_ms": 10000, "reserve": 0.25},
-		})
-		if err != nil {
+		}); err != nil {
 			return err
 		}
 	}
-	for _, g := range r.gateways {
-		if err := g.awaitReady(10 * time.Second); err != nil {
+	return nil
+}
+
+// startReady starts a gateway and waits until it is ready. Another process may have taken one of its addresses since
+// they were found free; then it is started with others.
+func (r *reportSite) startReady(name string, changes map[string]any) error {
+	var err error
+	for range 3 {
+		peer := freeAddress()
+		changes["peer_listen"] = peer
+		var g *gateway
+		if g, err = r.startGateway(name, changes); err != nil {
 			return err
 		}
+		if err = g.awaitReady(5 * time.Second); err == nil {
+			r.peers = append(r.peers, peer)
+			return nil
+		}
+		g.kill()
+		r.gateways = r.gateways[:len(r.gateways)-1]
 	}
-	return nil
+	return err
 }
 
 // book runs an order.
