platform: Log the era of the store and the ends of its logs

What on-call couldn't tell: an instance that keeps an old configuration logs no further line.

No decision depends on the era yet.

--- a/common/event/event.go
+++ b/common/event/event.go
@@ -68,6 +68,9 @@
 	// HistoryGone reports that the records at the read offset were compacted, so that
 	// the topic is read again from the newest records.
 	HistoryGone Name = "history_gone"
+	// StoreRestored reports that the store was restored from a copy, so that offsets may be
+	// assigned again.
+	StoreRestored Name = "store_restored"
 	// RetryShare reports this instance's share of the retry budget.
 	RetryShare Name = "retry_share"
 	// TableProof reports whether the configuration is known to be the newest one, which
