platform: Tie positions in the store's logs to its era

What callers saw: after the store came back from a copy some seconds old, requests were run or refused as an older manifest says, for good, on all instances.

Cause: manifests, entries of servers, records of crashes and copies are followed by offset alone. If what the operator writes again and anew brings the log to its old end before an instance reads on, nothing is below its position: no 410, and what stands there stays unread. Class: a position that is used in another history of the log than the one it was taken from.

Why it works: the era is stated in the answer itself, so no read can be taken for one of the history before; an instance doesn't have to notice the outage.

--- a/plan/source.go
+++ b/plan/source.go
@@ -41,6 +41,9 @@
 //
 // Source is an immutable value; the zero value has read nothing.
 type Source struct {
+	// era is the era of the logs in which the offsets are valid. A log that was restored from a copy begins
+	// another one.
+	era uint64
 	// copies and documents are the offsets from which the logs are read on. They are valid if the
 	// matching flag is set.
 	copies         uint64
@@ -77,6 +80,17 @@
 	}
 }
 
+// Era returns the era of the logs in which the positions are valid.
+func (s Source) Era() uint64 { return s.era }
+
+// WithEra returns s after a read in an era of the logs. If it is another one, nothing has been read in it yet.
+func (s Source) WithEra(era uint64) Source {
+	if era == s.era {
+		return s
+	}
+	return Source{era: era}
+}
+
 // Position returns the offset after the document that was read last.
 func (s Source) Position() uint64 { return s.documents }
 
