bulletin: State the era of the logs in reports

Cause: a report names offsets alone. An instance that has read on in the new history of the log takes a report of the former one, or the other way round, for one about its own position, and spares the read in which the manifest is.

Change: positions and reports have the era of the logs. A report of another era spares no read, and a reader's first read in an era counts as a change. Reports of instances of the release before state 0, as a store without eras does.

Evidence: TestReportsHideNoChange now restores the log at random; TestDecide has reports of another era.

--- a/bulletin/board.go
+++ b/bulletin/board.go
@@ -18,17 +18,18 @@
 // NewBoard returns an empty board.
 func NewBoard() *Board { return &Board{reports: map[Log]Report{}} }
 
-// Record records a read of a log that began at a time and ended at the offset checked.
-// changed reports whether a record changed anything.
-func (b *Board) Record(log Log, checked uint64, changed bool, began uptime.Instant) {
+// Record records a read of a log that began at a time and ended at a position. changed
+// reports whether a record changed anything.
+func (b *Board) Record(log Log, checked Position, changed bool, began uptime.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	report, known := b.reports[log]
-	if changed || !known || checked < report.Checked {
+	if changed || !known || checked.Era != report.Era || checked.Offset < report.Checked {
 		// Without earlier reads, what changed before is unknown.
-		report.Changed = checked
+		report.Changed = checked.Offset
 	}
-	report.Checked = checked
+	report.Era = checked.Era
+	report.Checked = checked.Offset
 	report.AsOf = began
 	b.reports[log] = report
 }
@@ -60,6 +61,7 @@
 			Checked: report.Checked,
 			Changed: report.Changed,
 			AgeMs:   1 + report.Age(now).Milliseconds(),
+			Era:     report.Era,
 		})
 	}
 	return reply, nil
--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -13,10 +13,10 @@
 // # Usage
 //
 //	watch := bulletin.NewWatch(cfg)
-//	switch d := watch.Decide(bulletin.Servers, next, readAt, uptime.Now()).(type) {
+//	switch d := watch.Decide(bulletin.Servers, position, readAt, uptime.Now()).(type) {
 //	case bulletin.Read:
 //	case bulletin.Unchanged:
-//		next = d.Next
+//		position.Offset = d.Next
 //	}
 package bulletin
 
@@ -77,8 +77,17 @@
 
 func milliseconds(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
+// Position is a position in a log. Logs that were restored from a copy begin another era,
+// in which offsets are assigned again.
+type Position struct {
+	Era    uint64
+	Offset uint64
+}
+
 // Report is what a reader has read of one log.
 type Report struct {
+	// Era is the era of the logs in which the offsets are valid.
+	Era uint64
 	// Checked is the offset up to which the log was read. Changed is the offset after the
 	// last record that changed anything.
 	Checked uint64
@@ -98,8 +107,8 @@
 // change that is known, or 0 if none is.
 type Read struct{ Changed uint64 }
 
-// Unchanged means that nothing has changed up to the offset Next, as of the time of the
-// report. Unless another report arrives, the decision holds for Holds.
+// Unchanged means that nothing has changed up to the offset Next of the same era, as of
+// the time of the report. Unless another report arrives, the decision holds for Holds.
 type Unchanged struct {
 	Next   uint64
 	Report Report
@@ -109,20 +118,20 @@
 func (Read) isDecision()      {}
 func (Unchanged) isDecision() {}
 
-// Decide decides whether a follower at the offset next, which last read the log at readAt,
+// Decide decides whether a follower at a position, which last read the log at readAt,
 // must read it.
-func (c Config) Decide(report Report, next uint64, readAt, now uptime.Instant) Decision {
+func (c Config) Decide(report Report, at Position, readAt, now uptime.Instant) Decision {
 	age := report.Age(now)
 	switch {
-	case report.AsOf.IsZero() || age >= milliseconds(c.MaxAgeMS) || age < 0:
+	case report.AsOf.IsZero() || age >= milliseconds(c.MaxAgeMS) || age < 0 || report.Era != at.Era:
 		return Read{}
-	case report.Changed > next:
+	case report.Changed > at.Offset:
 		return Read{Changed: report.Changed}
 	case now.Sub(readAt) > milliseconds(c.VerifyMS):
 		return Read{}
 	}
 	return Unchanged{
-		Next:   max(next, report.Checked),
+		Next:   max(at.Offset, report.Checked),
 		Report: report,
 		Holds:  milliseconds(c.MaxAgeMS) - age,
 	}
--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -57,41 +57,50 @@
 		{name: "too old by the boot clock", report: bulletin.Report{Checked: 90, AsOf: uptime.At(monotonic, boot-time.Minute)}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
 		{name: "from the future", report: bulletin.Report{Checked: 90, AsOf: now.Add(time.Minute)}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
 		{name: "to be verified", report: report, next: 70, readAt: now.Add(-time.Hour), now: now, want: bulletin.Read{}},
+		{name: "of another era", report: bulletin.Report{Era: 1, Checked: 90, AsOf: report.AsOf}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
+		{name: "changed in another era", report: bulletin.Report{Era: 1, Checked: 90, Changed: 80, AsOf: report.AsOf}, next: 70, readAt: now, now: now, want: bulletin.Read{}},
 		{name: "never read", report: report, next: 0, now: now, want: bulletin.Read{Changed: 50}},
 	} {
-		c.Check(cfg.Decide(test.report, test.next, test.readAt, test.now), qt.Equals, test.want, qt.Commentf("%s", test.name))
+		c.Check(cfg.Decide(test.report, bulletin.Position{Offset: test.next}, test.readAt, test.now), qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
 }
 
-// Reports of any readers never hide a change: a follower that skips to the offset of a report has passed no
-// change that it has not read.
+// Reports of any readers never hide a change, also if the log was restored from a copy: a follower that skips to the
+// offset of a report has passed no change that it has not read.
 func TestReportsHideNoChange(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		boards := []*bulletin.Board{bulletin.NewBoard(), bulletin.NewBoard()}
-		positions := make([]uint64, len(boards))
+		positions := make([]bulletin.Position, len(boards))
 		var changes []bool
-		now := uptime.Now()
-		next, cfg := uint64(0), testConfig()
+		era, now := uint64(0), uptime.Now()
+		next, cfg := bulletin.Position{}, testConfig()
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			for range rapid.IntRange(0, 3).Draw(t, "records") {
 				changes = append(changes, rapid.IntRange(0, 4).Draw(t, "change") == 0)
 			}
 			at := rapid.IntRange(0, len(boards)-1).Draw(t, "board")
-			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
 			case 0:
 				boards[at].Forget(bulletin.Servers)
+			case 1:
+				era++
+				changes = changes[:rapid.IntRange(0, len(changes)).Draw(t, "kept")]
 			default:
 				changed := false
-				for offset := positions[at]; offset < uint64(len(changes)); offset++ {
+				if positions[at].Era != era {
+					positions[at] = bulletin.Position{Era: era}
+				}
+				for offset := positions[at].Offset; offset < uint64(len(changes)); offset++ {
 					changed = changed || changes[offset]
 				}
-				positions[at] = uint64(len(changes))
+				positions[at].Offset = uint64(len(changes))
 				boards[at].Record(bulletin.Servers, positions[at], changed, now)
 			}
 			reply, _ := boards[rapid.IntRange(0, len(boards)-1).Draw(t, "asked")].Read(context.Background(), nil)
 			var report bulletin.Report
 			for _, r := range reply.Reports {
 				report = bulletin.Report{
+					Era:     r.Era,
 					Checked: r.Checked,
 					Changed: r.Changed,
 					AsOf:    now,
@@ -99,17 +108,22 @@
 			}
 			switch d := cfg.Decide(report, next, now, now).(type) {
 			case bulletin.Read:
-				next = uint64(len(changes))
+				next = bulletin.Position{
+					Era:    era,
+					Offset: uint64(len(changes)),
+				}
 			case bulletin.Unchanged:
-				for offset := next; offset < d.Next; offset++ {
-					if changes[offset] {
-						t.Fatalf("skipped the change at %d: %d to %d", offset, next, d.Next)
+				if next.Era == era {
+					for offset := next.Offset; offset < d.Next; offset++ {
+						if changes[offset] {
+							t.Fatalf("skipped the change at %d: %+v to %d", offset, next, d.Next)
+						}
 					}
 				}
-				if d.Next < next {
-					t.Fatalf("moved back from %d to %d", next, d.Next)
+				if d.Next < next.Offset {
+					t.Fatalf("moved back from %+v to %d", next, d.Next)
 				}
-				next = d.Next
+				next.Offset = d.Next
 			}
 		}
 	})
@@ -191,14 +205,14 @@
 				go func() { done <- client.Run(ctx) }()
 				time.Sleep(5 * time.Second)
 				c.Check(client.Reader(), qt.Equals, "10.0.0.2:1")
-				_, unchanged := watch.Decide(bulletin.Servers, 9, uptime.Now(), uptime.Now()).(bulletin.Unchanged)
+				_, unchanged := watch.Decide(bulletin.Servers, bulletin.Position{Offset: 9}, uptime.Now(), uptime.Now()).(bulletin.Unchanged)
 				c.Check(unchanged, qt.IsTrue)
 				c.Check(failures.Load() > 0, qt.Equals, client.Reader() == "10.0.0.2:1" && bad.wasAsked())
 
 				good.fail(errors.New("connection reset"))
 				time.Sleep(3 * time.Second)
 				c.Check(client.Reader(), qt.Equals, "")
-				c.Check(watch.Decide(bulletin.Servers, 9, uptime.Now(), uptime.Now()), qt.Equals, bulletin.Decision(bulletin.Read{}))
+				c.Check(watch.Decide(bulletin.Servers, bulletin.Position{Offset: 9}, uptime.Now(), uptime.Now()), qt.Equals, bulletin.Decision(bulletin.Read{}))
 				cancel()
 				c.Check(<-done, qt.IsNil)
 			})
--- a/bulletin/client.go
+++ b/bulletin/client.go
@@ -105,6 +105,7 @@
 			return nil, fmt.Errorf("read reports: peer %s: report of %s is %v old", address, r.Log, age)
 		}
 		reports[Log(r.Log)] = Report{
+			Era:     r.Era,
 			Checked: r.Checked,
 			Changed: r.Changed,
 			// The reader stated the age after the request was sent.
--- a/bulletin/watch.go
+++ b/bulletin/watch.go
@@ -24,12 +24,12 @@
 	}
 }
 
-// Decide decides whether a follower at the offset next, which last read the log at readAt,
-// must read it.
-func (w *Watch) Decide(log Log, next uint64, readAt, now uptime.Instant) Decision {
+// Decide decides whether a follower at a position, which last read the log at readAt, must
+// read it.
+func (w *Watch) Decide(log Log, at Position, readAt, now uptime.Instant) Decision {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.cfg.Decide(w.reports[log], next, readAt, now)
+	return w.cfg.Decide(w.reports[log], at, readAt, now)
 }
 
 // Arrived returns a channel that is closed when the next reports arrive.
