--- a/crew/member.go
+++ b/crew/member.go
@@ -68,7 +68,9 @@
 	Service       string
 	ChecksFencing bool
 	Incarnation   uint64
-	State         State
+	// Version is the version of the server's software, or empty if it states none.
+	Version string
+	State   State
 	// Load is the newest load report. Load.At is zero until the first report arrives.
 	Load kiln.LoadReport
 	// ColdUntil is the time until which a recently started server is slow, or zero if
--- a/crew/roster.go
+++ b/crew/roster.go
@@ -137,7 +137,7 @@
 func SameRegistration(a, b Server) bool {
 	return a.Name == b.Name && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Service == b.Service &&
 		a.Role == b.Role && a.Slots == b.Slots && a.State == b.State && a.Incarnation == b.Incarnation &&
-		a.Model == b.Model && a.ColdUntil.Equal(b.ColdUntil)
+		a.Model == b.Model && a.Version == b.Version && a.ColdUntil.Equal(b.ColdUntil)
 }
 
 // Remove removes a server that the registry no longer lists. It reports whether the
--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -254,6 +254,7 @@
 	}
 	entry.Str(event.Key, string(event.Attempt)).Str(event.ID, a.g.req.ID).Int("try", a.g.tries).
 		Str("prefill", a.plan.Prefill.Name).Str("decode", a.plan.Decode.Name).
+		Str("prefill_version", a.plan.Prefill.Version).Str("decode_version", a.plan.Decode.Version).
 		Int("events", a.g.next).Int64("took_ms", took.Milliseconds()).Str("verdict", result.name())
 	if result != resultDone {
 		entry.EmbedObject(reason).Strs("parts", a.g.req.Prompt.Parts)
@@ -265,6 +266,7 @@
 func (a *attempt) logPlaced() {
 	log.Debug().Str(event.Key, string(event.Placed)).Str(event.ID, a.g.req.ID).Int("try", a.g.tries).
 		Str("prefill", a.plan.Prefill.Name).Str("decode", a.plan.Decode.Name).
+		Str("prefill_version", a.plan.Prefill.Version).Str("decode_version", a.plan.Decode.Version).
 		Int64("waited_ms", time.Since(a.g.startedAt).Milliseconds()).Int64("expected_ms", a.plan.ReadyIn().Milliseconds()).
 		Int("memory_tokens", a.g.req.memoryTokens()).Int("room_tokens", a.g.req.HeadroomTokens).
 		Int64("load_age_ms", a.plan.Decode.ReportAge(time.Now()).Milliseconds()).Int("from", a.g.next).Msg("placed")
--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -16,8 +16,10 @@
 	DataCentre string
 	Region     string
 	Pool       string
-	Role       kiln.Role
-	Slots      int
+	// Version is the version of the engine's software, or empty if it states none.
+	Version string
+	Role    kiln.Role
+	Slots   int
 	// KVTokens is the memory for prompts and output, in tokens; 0 if unknown.
 	KVTokens int
 	// PrefillRate is the prefill rate in tokens per second.
@@ -232,6 +234,7 @@
 		DataCentre:  server.DataCentre,
 		Region:      server.Region,
 		Pool:        server.Pool,
+		Version:     server.Version,
 		Role:        server.Role,
 		Slots:       server.Slots,
 		PrefillRate: cfg.TokensPerSecond,
