quotation: Pair engines of one software version

What two versions write doesn't fit together, and servers don't check it.

Cause: the version of a server's entry wasn't read, and placement chose both engines from all.

Change: the prefill engine has the version of the decode engine. A version of which only one role can be used gets no request, and a request whose pairs are all impossible is refused at once instead of waiting. Request.Version restricts both to a version.

--- a/quotation/decision.go
+++ b/quotation/decision.go
@@ -55,6 +55,9 @@
 	Servers []string
 	// Excluded holds the addresses of engines that already failed this request.
 	Excluded []string
+	// Version restricts the engines to one version of their software; empty means no
+	// restriction.
+	Version string
 	// BestEffort marks a request that leaves some slots free for others.
 	BestEffort bool
 	// Waited is the time since the request was received.
@@ -62,6 +65,9 @@
 	// KVRegion restricts the decode engine to the region that holds the exported
 	// KV cache; empty if there is none.
 	KVRegion string
+
+	// excludedVersions are the versions that have no pair of engines for the request.
+	excludedVersions []string
 }
 
 // Decision is the result of placement, a sealed interface: Run, Wait, Paused or Refuse.
--- a/quotation/fleet.go
+++ b/quotation/fleet.go
@@ -133,6 +133,8 @@
 type modelWorkers struct {
 	decode  map[string][]*Worker
 	prefill map[string][]*Worker
+	// versions are the versions of their software.
+	versions []string
 }
 
 func newModelWorkers() *modelWorkers {
@@ -193,6 +195,9 @@
 		m = newModelWorkers()
 		s.models[model] = m
 	}
+	if !slices.Contains(m.versions, worker.Version) {
+		m.versions = append(m.versions, worker.Version)
+	}
 	for _, region := range []string{"", worker.Region} {
 		if worker.Role != kiln.RolePrefill {
 			m.decode[region] = append(m.decode[region], worker)
--- a/quotation/place.go
+++ b/quotation/place.go
@@ -94,14 +94,29 @@
 // waitOrRefuse decides on a request for which no engine has free capacity. If it could run
 // on no engine that takes requests now, it doesn't have to wait.
 func (v view) waitOrRefuse(m *modelWorkers, req *Request) Decision {
-	decodeFrom, hasDecode := earliestAdmission(m.decode[""], req)
-	prefillFrom, hasPrefill := earliestAdmission(m.prefill[""], req)
-	if !hasDecode || !hasPrefill {
-		return Refuse{Code: receipt.CodeNoServer}
+	var from time.Time
+	served := false
+	for _, version := range m.versions {
+		pinned, ok := req.withVersion(version)
+		if !ok {
+			continue
+		}
+		decodeFrom, hasDecode := earliestAdmission(m.decode[""], &pinned)
+		prefillFrom, hasPrefill := earliestAdmission(m.prefill[""], &pinned)
+		if !hasDecode || !hasPrefill {
+			continue
+		}
+		pairFrom := decodeFrom
+		if prefillFrom.After(pairFrom) {
+			pairFrom = prefillFrom
+		}
+		if !served || pairFrom.Before(from) {
+			from = pairFrom
+		}
+		served = true
 	}
-	from := decodeFrom
-	if prefillFrom.After(from) {
-		from = prefillFrom
+	if !served {
+		return Refuse{Code: receipt.CodeNoServer}
 	}
 	if from.After(v.now) {
 		return Paused{Until: from}
@@ -127,28 +142,55 @@
 // hasEngines reports whether a region has engines of both roles that respond.
 func (v view) hasEngines(m *modelWorkers, req *Request, region string) bool {
 	now := v.now.UnixNano()
-	available := func(w *Worker) bool { return allowed(w, req) && !w.failed(now) && !w.paused(v.now) }
-	return slices.ContainsFunc(m.decode[region], available) && slices.ContainsFunc(m.prefill[region], available)
+	return slices.ContainsFunc(m.versions, func(version string) bool {
+		pinned, ok := req.withVersion(version)
+		available := func(w *Worker) bool { return allowed(w, &pinned) && !w.failed(now) && !w.paused(v.now) }
+		return ok && slices.ContainsFunc(m.decode[region], available) && slices.ContainsFunc(m.prefill[region], available)
+	})
 }
 
+// placeInRegion chooses both engines, of the same version of their software.
 func (v view) placeInRegion(m *modelWorkers, req *Request, region string) (Run, bool) {
 	if req.KVRegion != "" {
 		region = req.KVRegion
 	}
-	decode := v.chooseDecode(m.decode[region], req)
-	if decode == nil {
-		return Run{}, false
-	}
-	if region == "" {
-		region = decode.Region
-	}
-	prefill := m.prefill[region]
-	if v.cfg.PrefillInOtherRegions {
-		prefill = m.prefill[""]
+	remaining := *req
+	for range m.versions {
+		decode := v.chooseDecode(m.decode[region], &remaining)
+		if decode == nil {
+			return Run{}, false
+		}
+		prefillRegion := region
+		if prefillRegion == "" {
+			prefillRegion = decode.Region
+		}
+		prefill := m.prefill[prefillRegion]
+		if v.cfg.PrefillInOtherRegions {
+			prefill = m.prefill[""]
+		}
+		pinned, _ := req.withVersion(decode.Version)
+		run, ok := v.choosePrefill(prefill, &pinned, decode)
+		if ok {
+			run.Decode = decode
+			return run, true
+		}
+		remaining = remaining.withoutVersion(decode.Version)
 	}
-	run, ok := v.choosePrefill(prefill, req, decode)
-	run.Decode = decode
-	return run, ok
+	return Run{}, false
+}
+
+// withVersion returns the request for engines of one version, or false if it is restricted to
+// another one.
+func (r Request) withVersion(version string) (Request, bool) {
+	ok := r.Version == "" || r.Version == version
+	r.Version = version
+	return r, ok
+}
+
+// withoutVersion returns the request for engines of other versions than one.
+func (r Request) withoutVersion(version string) Request {
+	r.excludedVersions = append(slices.Clone(r.excludedVersions), version)
+	return r
 }
 
 // chooseDecode returns the engine with the lowest score among at most sampleSize engines
@@ -229,6 +271,9 @@
 	if len(req.Servers) > 0 && !slices.Contains(req.Servers, w.Name) {
 		return false
 	}
+	if req.Version != "" && w.Version != req.Version || slices.Contains(req.excludedVersions, w.Version) {
+		return false
+	}
 	return len(req.Excluded) == 0 || !slices.Contains(req.Excluded, w.Address)
 }
 
