firing: Keep a stream at the software version that began it

What callers saw: one answer whose first events are of one software version and the rest of another: after a crash of its server, a lost answer or a silence.

Cause: a generation that goes on after its first token (a retry, a silent stream that is sent on, another decode engine after a failed transfer) is placed like a new one, and a connection that breaks is resumed at the same address, where a server of another version may have started.

Change: the version of the engine that delivered the first token restricts all further placements. A silent stream without tokens may still move to any version, since nothing of the run before is delivered then.

--- a/firing/attempt.go
+++ b/firing/attempt.go
@@ -122,6 +122,7 @@
 func (a *attempt) chooseAnotherDecode() bool {
 	req := a.g.quotationRequest()
 	req.KVRegion = a.plan.Prefill.Region
+	req.Version = a.plan.Prefill.Version
 	now := time.Now()
 	next, ok := a.g.runner.deps.Placer.Place(req, now).(quotation.Run)
 	if !ok {
--- a/firing/generation.go
+++ b/firing/generation.go
@@ -49,6 +49,8 @@
 	ids      int
 	excluded []string
 
+	// version is the version of the engines' software that delivered the first token.
+	version string
 	// next is the index of the next expected token. deliveredText is the text of
 	// all tokens before it, unless the request is strict.
 	next          int
@@ -307,7 +309,7 @@
 
 func (g *generation) contextTokens() int { return g.req.Prompt.Tokens + g.next }
 
-func (g *generation) decodeRequest(attempt string, from int) kiln.DecodeRequest {
+func (g *generation) decodeRequest(attempt string, from int, version string) kiln.DecodeRequest {
 	return kiln.DecodeRequest{
 		Attempt:   attempt,
 		Owner:     g.owner,
@@ -316,6 +318,7 @@
 		From:      from,
 		Priority:  g.req.Priority,
 		Sampling:  g.req.Sampling,
+		Version:   version,
 	}
 }
 
@@ -333,6 +336,7 @@
 		Pools:        g.req.Pools,
 		Servers:      g.req.Servers,
 		Excluded:     g.excluded,
+		Version:      g.version,
 		AnswerBytes:  g.req.AnswerBytes,
 		MemoryTokens: g.req.MemoryTokens,
 		Waited:       time.Since(g.startedAt),
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -147,7 +147,7 @@
 		a.started = nil
 		return result.stream, result.err
 	}
-	return a.engine(address).Decode(ctx, a.g.decodeRequest(a.id, a.g.next))
+	return a.engine(address).Decode(ctx, a.g.decodeRequest(a.id, a.g.next, a.plan.Decode.Version))
 }
 
 // stallTimeout returns the time without a token after which a stream is treated as
@@ -210,6 +210,7 @@
 }
 
 func (a *attempt) deliver(frame kiln.Frame) error {
+	a.g.version = a.plan.Decode.Version
 	if err := a.g.sink.Token(frame); err != nil {
 		return &sinkError{err: err}
 	}
--- a/firing/request.go
+++ b/firing/request.go
@@ -54,6 +54,10 @@
 	// all engines may be used.
 	Pools   []string
 	Servers []string
+	// Version is the version of the engines' software that began the stream, or empty
+	// if no token has been delivered yet. What two versions generate doesn't fit
+	// together.
+	Version string
 	// Strict is set for requests that are forwarded unchanged to engines that don't
 	// count a prefill as running the request, but count every decode they accepted.
 	// A decode that may have started is repeated only if Resumable is set, on at
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -53,6 +53,7 @@
 		req:       req,
 		sink:      sink,
 		startedAt: time.Now(),
+		version:   req.Version,
 		next:      req.Delivered,
 		sequence:  receipt.NewSequence("", req.Delivered),
 		unsent:    receipt.NewAttempt(req.ID),
--- a/firing/stall.go
+++ b/firing/stall.go
@@ -241,6 +241,9 @@
 	g := w.attempt.g
 	req := w.request
 	delivered := w.next - w.firstIndex
+	if w.next > 0 {
+		req.Version = w.attempt.plan.Decode.Version
+	}
 	req.PromptTokens += delivered
 	req.OutputTokens -= delivered
 	run, ok := g.runner.deps.Placer.Place(req, time.Now()).(quotation.Run)
--- a/firing/steps.go
+++ b/firing/steps.go
@@ -71,6 +71,7 @@
 		Priority:     a.prefillPriority(),
 		Generated:    a.g.next,
 		Continuation: a.g.deliveredText.String(),
+		Version:      a.plan.Prefill.Version,
 	})
 	if err == nil {
 		a.computed += kv.Computed
--- a/firing/successor.go
+++ b/firing/successor.go
@@ -132,6 +132,7 @@
 		Priority:     s.g.req.Priority,
 		Generated:    s.next,
 		Continuation: s.text,
+		Version:      s.plan.Prefill.Version,
 	})
 	if err != nil {
 		return err
@@ -158,7 +159,7 @@
 // sendDecode sends the decode, whose result arrives in s.decode.
 func (s *successor) sendDecode() error {
 	engine := s.engine(s.plan.Decode.Address)
-	req := s.g.decodeRequest(s.id, s.next)
+	req := s.g.decodeRequest(s.id, s.next, s.plan.Decode.Version)
 	results := make(chan decodeResult, 1)
 	s.decode = results
 	go func() {
--- a/kiln/engine.go
+++ b/kiln/engine.go
@@ -90,6 +90,9 @@
 	Generated int `json:"generated"`
 	// Continuation is the text of those tokens. It must never appear in logs.
 	Continuation string `json:"continuation,omitempty"`
+	// Version is the version of the engine's software that must run it, or empty. The
+	// client checks it.
+	Version string `json:"-"`
 }
 
 // Sampling holds the caller's sampling parameters. If one is nil, the engine uses its
@@ -137,6 +140,9 @@
 	From     int      `json:"from"`
 	Priority int      `json:"priority"`
 	Sampling Sampling `json:"sampling"`
+	// Version is the version of the engine's software that must run it, or empty. The
+	// client checks it.
+	Version string `json:"-"`
 }
 
 // Frame is one event of a decode stream.
