lot: Find out which software version began a stream that is taken up

What callers saw: streams that broke off when instances were killed and that clients took up again were answered 200 and ran to the end, joined from two versions.

Cause: Resumes wasn't read. Any instance placed such a request like a new one, on servers of any version, and nobody kept which version began a stream. Class: state that later requests depend on, kept only in the process that may die.

Change: package lot decides which version began a stream: by records that the instances append of the streams that they begin, or because all servers of the service have had one version since before any stream in progress. Both are read after the request came. If neither tells, the stream is refused at once (503, unknown_version).

Why it works: a version is in the log of servers before any instance can use it, so a read after the request shows every version that may have begun the stream; a missing record or a gap in the log makes the origin unknown, never another one.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 # Decoders of what other writers may leave behind, each with FUZZ_TIME inputs beyond its corpus. A number
 # of inputs instead of a duration, because a fuzzer may report the end of the duration as a failure.
 FUZZ_TIME ?= 50000x
-FUZZERS := FuzzDecodeWorker FuzzDecodeManifest FuzzDecodeRecords FuzzDecodeCopy FuzzDecodeCrashRecord FuzzParseResponseHeaders FuzzStream
+FUZZERS := FuzzDecodeWorker FuzzDecodeManifest FuzzDecodeRecords FuzzDecodeCopy FuzzDecodeCrashRecord FuzzDecodeStreams FuzzParseResponseHeaders FuzzStream
 fuzz:
 	for name in $(FUZZERS); do go test -run '^$$' -fuzz "^$$name\$$" -fuzztime $(FUZZ_TIME) ./platform || exit 1; done
 
--- a/firing/relay.go
+++ b/firing/relay.go
@@ -211,6 +211,9 @@
 
 func (a *attempt) deliver(frame kiln.Frame) error {
 	a.g.version = a.plan.Decode.Version
+	if a.g.next == a.g.req.Delivered && a.g.req.Started != nil {
+		a.g.req.Started(a.g.version)
+	}
 	if err := a.g.sink.Token(frame); err != nil {
 		return &sinkError{err: err}
 	}
--- a/plan/table.go
+++ b/plan/table.go
@@ -94,10 +94,11 @@
 
 // Table is an immutable routing table, matched by host and path prefix.
 type Table struct {
-	version  uint64
-	hosts    map[string][]HostRoute
-	services map[string]RoutedService
-	limits   IngressLimits
+	version       uint64
+	hosts         map[string][]HostRoute
+	services      map[string]RoutedService
+	limits        IngressLimits
+	longestStream time.Duration
 	// requiresKeys and keys are set by WithCallers.
 	requiresKeys bool
 	keys         keyTable
@@ -113,6 +114,9 @@
 		limits:   limits,
 	}
 	for _, route := range routes {
+		if route.Kind == CallStream {
+			t.longestStream = max(t.longestStream, route.Timeout)
+		}
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 	}
@@ -130,6 +134,9 @@
 // those with lower ones.
 func (t *Table) Version() uint64 { return t.version }
 
+// LongestStream returns the longest timeout of a stream route.
+func (t *Table) LongestStream() time.Duration { return t.longestStream }
+
 // Limits returns the limits of callers' requests.
 func (t *Table) Limits() IngressLimits { return t.limits }
 
--- a/receipt/receipt.go
+++ b/receipt/receipt.go
@@ -62,6 +62,7 @@
 	CodeLimited        Code = "limited"
 	CodeOverloaded     Code = "overloaded"
 	CodeNoServer       Code = "no_server"
+	CodeUnknownVersion Code = "unknown_version"
 	CodeQuarantined    Code = "quarantined"
 	CodeNoMemory       Code = "no_memory"
 	CodeShuttingDown   Code = "shutting_down"
