firing: Leave the callback for the first token out of drafts

What callers saw: since every draft was refused with 400 ("encode draft: json: unsupported type: func(string)").

--- a/firing/request.go
+++ b/firing/request.go
@@ -60,7 +60,7 @@
 	Version string
 	// Started is called before the first token is passed on, with the version of the
 	// engine that generated it. It may be nil.
-	Started func(version string)
+	Started func(version string) `json:"-"`
 	// Strict is set for requests that are forwarded unchanged to engines that don't
 	// count a prefill as running the request, but count every decode they accepted.
 	// A decode that may have started is repeated only if Resumable is set, on at
