intake: Serve the rest of a stream before new requests

Cause: such a request was admitted like a new one: late at once by its objective, and given up if the length of the whole stream didn't fit into the time left. Class: work that has been done for a caller isn't counted when it comes back.

Change: the backlog puts the rest of a begun response before all others, without an objective; it only has a latest start. Lengths are those of the rest. The rest of a stream isn't recorded as a length.

--- a/firing/generation.go
+++ b/firing/generation.go
@@ -156,6 +156,9 @@
 	if !g.enforcesTarget() {
 		return WaitLimits{}
 	}
+	if g.req.Begun {
+		return WaitLimits{LatestStart: g.req.LatestStart}
+	}
 	needed := g.runner.deps.Placer.MinReadyIn(g.quotationRequest(), g.startedAt) + decodeStepTime
 	left := g.req.FirstToken - needed - milliseconds(g.runner.cfg.MarginMS)
 	if left <= 0 {
--- a/firing/queue.go
+++ b/firing/queue.go
@@ -60,6 +60,7 @@
 		DueAt:       limits.RefuseAt,
 		LatestStart: limits.LatestStart,
 		RunTime:     req.RunTime,
+		Begun:       req.Begun,
 	})
 	if reason != nil {
 		return nil, reason
--- a/firing/request.go
+++ b/firing/request.go
@@ -58,6 +58,9 @@
 	// if no token has been delivered yet. What two versions generate doesn't fit
 	// together.
 	Version string
+	// Begun is set if the caller has a part of the stream from an earlier request. Only
+	// LatestStart limits its wait.
+	Begun bool
 	// Started is called before the first token is passed on, with the version of the
 	// engine that generated it. It may be nil.
 	Started func(version string) `json:"-"`
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -96,12 +96,15 @@
 // was delivered, ResumeWaitMS counts from the end of the last run instead, unless it is 0.
 func (g *generation) waitDeadline() time.Time {
 	cfg := g.runner.cfg
-	if g.next > 0 && cfg.ResumeWaitMS > 0 {
+	if g.hasBegun() && cfg.ResumeWaitMS > 0 {
 		return later(g.startedAt, g.lastRunEnd).Add(milliseconds(cfg.ResumeWaitMS))
 	}
 	return later(later(g.startedAt, g.lastPrefillAt), g.lastTokenAt).Add(milliseconds(cfg.WaitMS))
 }
 
+// hasBegun reports whether the caller has a part of the stream.
+func (g *generation) hasBegun() bool { return g.next > 0 || g.req.Begun }
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
@@ -147,7 +150,7 @@
 			}
 		case quotation.Paused:
 			wait := time.Until(d.Until)
-			if wait > maxPauseWait && (g.next == 0 || d.Until.After(deadline)) {
+			if wait > maxPauseWait && (!g.hasBegun() || d.Until.After(deadline)) {
 				return quotation.Run{}, &receipt.Reason{
 					Code:       receipt.CodeOverloaded,
 					Step:       receipt.StepPlace,
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -64,12 +64,16 @@
 	LatestStart time.Time
 	// RunTime is the time from a start to the end of the response in nearly all cases.
 	RunTime time.Duration
+	// Begun is set for the rest of a response of which the caller has a part already. Such
+	// requests go before all others, and only LatestStart limits their wait.
+	Begun bool
 }
 
 // Backlog queues requests until they can be placed on an engine. It handles bursts
 // that exceed the memory of the engines. Requests that can still meet their objective
 // come first, in the order of backlogOrder, which lets as many requests as possible meet
-// their objective. Late requests use the remaining capacity in order of rank and
+// their objective. The rest of a response that has begun goes before them. Late requests use
+// the remaining capacity in order of rank and
 // arrival. They are refused immediately if more of them wait than could be started in time at the recent rate of
 // late starts. A Backlog is safe for concurrent use.
 type Backlog struct {
@@ -194,10 +198,10 @@
 	return nil
 }
 
-// cheaperFirst orders on-time requests: expedited ones first, then by cost.
+// cheaperFirst orders on-time requests: expedited and begun ones first, then by cost.
 func cheaperFirst(a, b *JobTurn) bool {
-	if a.expedited != b.expedited {
-		return a.expedited
+	if a.goesFirst() != b.goesFirst() {
+		return a.goesFirst()
 	}
 	return a.job.Cost < b.job.Cost
 }
@@ -354,10 +358,10 @@
 	return t
 }
 
-// chargeLocked charges the cost of a start to its team and class. Late and expedited
-// requests aren't charged.
+// chargeLocked charges the cost of a start to its team and class. Late requests and those
+// that go first aren't charged.
 func (b *Backlog) chargeLocked(t *JobTurn) {
-	if !t.isLate && !t.expedited {
+	if !t.isLate && !t.goesFirst() {
 		b.order.started(t, time.Now())
 	}
 }
--- a/intake/backlogorder.go
+++ b/intake/backlogorder.go
@@ -75,9 +75,9 @@
 }
 
 // pick returns the index of the request that starts next. The list is not empty, and
-// sorted with expedited requests first, then by cost.
+// sorted with the requests first that go before all others, then by cost.
 func (o *backlogOrder) pick(list []*JobTurn, now time.Time) int {
-	if list[0].expedited {
+	if list[0].goesFirst() {
 		return 0
 	}
 	ranks := waitingRanks(list)
--- a/intake/jobturn.go
+++ b/intake/jobturn.go
@@ -38,6 +38,10 @@
 	return t.isLate && !t.expedited
 }
 
+// goesFirst reports whether the request goes before all others: engines have already done
+// work for it, or its caller has a part of the response.
+func (t *JobTurn) goesFirst() bool { return t.expedited || t.job.Begun }
+
 // isExpired reports whether a start is no longer useful.
 func (t *JobTurn) isExpired(now time.Time) bool {
 	return !t.expedited && !t.job.LatestStart.IsZero() && !now.Before(t.job.LatestStart)
@@ -45,7 +49,7 @@
 
 // isDue reports whether the request has waited in vain for a start on time.
 func (t *JobTurn) isDue(now time.Time) bool {
-	return !t.isLate && !t.expedited && now.After(t.arrived) && (t.isExpired(now) || !t.job.DueAt.IsZero() && !now.Before(t.job.DueAt))
+	return !t.isLate && !t.goesFirst() && now.After(t.arrived) && (t.isExpired(now) || !t.job.DueAt.IsZero() && !now.Before(t.job.DueAt))
 }
 
 // Expedite puts the request ahead of all others and removes its time limits, because
@@ -129,7 +133,7 @@
 	b := t.backlog
 	b.mu.Lock()
 	until := t.job.DueAt
-	if t.isLate || !t.job.LatestStart.IsZero() && t.job.LatestStart.Before(until) {
+	if t.isLate || until.IsZero() || !t.job.LatestStart.IsZero() && t.job.LatestStart.Before(until) {
 		until = t.job.LatestStart
 	}
 	last := b.endAt.Add(-t.job.RunTime)
--- a/quotation/length.go
+++ b/quotation/length.go
@@ -107,6 +107,8 @@
 	// the caller doesn't state it.
 	Hint int
 	Max  int
+	// Delivered is the number of tokens that the caller has from an earlier request.
+	Delivered int
 }
 
 // Needs holds the resources that a generation is expected to need.
@@ -117,8 +119,10 @@
 	// that must be free there in addition, in tokens.
 	Reserved int
 	Headroom int
-	// Duration is the time that decoding takes at most in nearly all cases.
+	// Duration is the time that decoding takes at most in nearly all cases, and Usual the
+	// time that it takes in half of them.
 	Duration time.Duration
+	Usual    time.Duration
 	// Output is the median output in tokens.
 	Output int
 }
@@ -131,12 +135,13 @@
 		out.Max = min(out.Max, kvTokens)
 	}
 	median, reserve := l.Predict(out.Route, out.Hint, out.Max)
-	longest := l.quantile(out, longestDeviations)
+	longest := max(1, l.quantile(out, longestDeviations)-out.Delivered)
 	return Needs{
 		Cost:     promptTokens + median,
 		Reserved: promptTokens + int(l.cfg.ReservedFraction*float64(reserve)),
 		Headroom: int(l.cfg.HeadroomFraction * float64(kvTokens)),
 		Duration: l.Duration(out.Route, longest),
+		Usual:    l.Duration(out.Route, max(1, median-out.Delivered)),
 		Output:   median,
 	}
 }
--- a/quotation/length_test.go
+++ b/quotation/length_test.go
@@ -162,3 +162,22 @@
 	usual, odd := predict(0), predict(1<<50)
 	c.Assert(math.Abs(float64(odd-usual)) < 0.1*float64(usual), qt.IsTrue, qt.Commentf("%d instead of %d tokens", odd, usual))
 }
+
+func TestNeedsOfTheRestOfAStream(t *testing.T) {
+	c := qt.New(t)
+	lengths := NewLengthPredictor(DefaultLengthConfig())
+	out := OutputSpec{
+		Route: "survey",
+		Hint:  1000,
+		Max:   4000,
+	}
+	whole := lengths.Needs(500, out, 0)
+	c.Check(whole.Usual < whole.Duration, qt.IsTrue)
+	out.Delivered = 800
+	rest := lengths.Needs(500, out, 0)
+	c.Check(rest.Duration < whole.Duration, qt.IsTrue)
+	c.Check(rest.Usual, qt.Equals, lengths.Duration("survey", whole.Output-800))
+	c.Check(rest.Reserved, qt.Equals, whole.Reserved, qt.Commentf("the engine keeps what was delivered, too"))
+	out.Delivered = 5000
+	c.Check(lengths.Needs(500, out, 0).Usual, qt.Equals, lengths.Duration("survey", 1))
+}
