intake: Let more of the streams that are taken up find room

Cause: such a request waited up to 2.8 s at one instance, where two were placed at a time, and was then told to come back in 4 s: too late for another instance, which may have had room.

--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -252,12 +252,20 @@
 	return true
 }
 
+// begunRetryAfter is short because the caller waits for the rest of its response, and another
+// instance may have room for it.
+const begunRetryAfter = 100 * time.Millisecond
+
 // overloadedReasonLocked returns a refusal that holds the state of the backlog.
 func (b *Backlog) overloadedReasonLocked(t *JobTurn, now time.Time) *receipt.Reason {
+	retryAfter := time.Duration(b.cfg.RetryAfterMS) * time.Millisecond
+	if t.job.Begun {
+		retryAfter = begunRetryAfter
+	}
 	return &receipt.Reason{
 		Code:       receipt.CodeOverloaded,
 		Step:       receipt.StepAdmit,
-		RetryAfter: time.Duration(b.cfg.RetryAfterMS) * time.Millisecond,
+		RetryAfter: retryAfter,
 		Err:        b.overloadErrorLocked(t, now),
 	}
 }
@@ -333,7 +341,7 @@
 	if time.Now().Before(b.blockedUntil) {
 		return
 	}
-	for b.placing < b.cfg.MaxPlacing {
+	for b.placing < b.maxPlacingLocked() {
 		var t *JobTurn
 		switch {
 		case len(b.onTime) > 0:
@@ -350,6 +358,17 @@
 	}
 }
 
+// begunPlacingFactor is the factor by which more requests are placed at the same time while the
+// rest of a response waits, so that one without room doesn't keep the others waiting.
+const begunPlacingFactor = 3
+
+func (b *Backlog) maxPlacingLocked() int {
+	if len(b.onTime) > 0 && b.onTime[0].job.Begun {
+		return begunPlacingFactor * b.cfg.MaxPlacing
+	}
+	return b.cfg.MaxPlacing
+}
+
 // popFairLocked removes and returns the on-time request that is next.
 func (b *Backlog) popFairLocked() *JobTurn {
 	next := b.order.pick(b.onTime, time.Now())
