internal/verdict: Print the output of tests that a crash ended

Cause: go test -json assigns the message of a crash to the test that was running, and emits no result for that test, only one for the package. The report printed the output of the package alone.

Tests that were running when their package failed are now printed below it. The new case of TestEvaluate failed before: the report held "FAIL" alone. Which failures pass the run is unchanged.

--- a/internal/verdict/run.go
+++ b/internal/verdict/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -29,6 +30,7 @@
 	skipped  []string
 	failed   []string
 	output   map[string][]string // by test or package
+	running  map[string]bool     // tests that have started and not finished
 	packages map[string]bool     // failed packages
 	finished bool                // whether at least one test or package has finished
 }
@@ -45,6 +47,7 @@
 func readRun(r io.Reader) (*testRun, error) {
 	run := &testRun{
 		output:   map[string][]string{},
+		running:  map[string]bool{},
 		packages: map[string]bool{},
 	}
 	scanner := bufio.NewScanner(r)
@@ -68,20 +71,25 @@
 func (run *testRun) add(e event) {
 	name := e.name()
 	switch e.Action {
+	case "run":
+		run.running[name] = true
 	case "output", "build-output":
 		run.output[name] = append(run.output[name], e.Output)
 	case "pass":
 		run.finished = true
+		delete(run.running, name)
 		if e.Test != "" {
 			run.passed++
 		}
 	case "skip":
 		run.finished = true
+		delete(run.running, name)
 		if e.Test != "" {
 			run.skipped = append(run.skipped, name)
 		}
 	case "fail", "build-fail":
 		run.finished = true
+		delete(run.running, name)
 		run.failed = append(run.failed, name)
 		if e.Test == "" {
 			run.packages[name] = true
@@ -123,6 +131,16 @@
 	return leaves
 }
 
+// printRunning prints the output of the tests that were running when their package crashed,
+// since it holds the message of the crash.
+func (run *testRun) printRunning(out io.Writer, pkg string) {
+	for _, name := range slices.Sorted(maps.Keys(run.running)) {
+		if strings.HasPrefix(name, pkg+".") {
+			_, _ = fmt.Fprintf(out, "RUNNING %s\n%s\n", name, strings.Join(run.output[name], ""))
+		}
+	}
+}
+
 // report prints the failed and skipped tests and the totals. It reports whether there are
 // no failures other than the known ones.
 func (run *testRun) report(out io.Writer, known knownFailures) bool {
@@ -136,6 +154,9 @@
 		}
 		unexpected++
 		_, _ = fmt.Fprintf(out, "FAILED %s\n%s\n", name, strings.Join(run.output[name], ""))
+		if run.packages[name] {
+			run.printRunning(out, name)
+		}
 	}
 	for _, name := range run.skipped {
 		_, _ = fmt.Fprintf(out, "SKIPPED %s\n", name)
--- a/internal/verdict/verdict_test.go
+++ b/internal/verdict/verdict_test.go
@@ -36,7 +36,8 @@
 {"Action":"fail","Package":"example.test/m/order"}
 `
 	knownCrash := "order | go test ./order | CHECK failed | 4\n"
-	crash := `{"Action":"output","Package":"example.test/m/order","Test":"TestA","Output":"runtime: CHECK failed: x.cpp:1\n"}
+	crash := `{"Action":"run","Package":"example.test/m/order","Test":"TestA"}
+{"Action":"output","Package":"example.test/m/order","Test":"TestA","Output":"runtime: CHECK failed: x.cpp:1\n"}
 {"Action":"output","Package":"example.test/m/order","Output":"FAIL\n"}
 {"Action":"fail","Package":"example.test/m/order"}
 `
@@ -87,6 +88,12 @@
 			want:   true,
 			output: "known red: 1",
 		},
+		{
+			name:   "crash is printed with the output of the test that it ended",
+			events: crash,
+			want:   false,
+			output: "CHECK failed: x.cpp:1",
+		},
 		{
 			name:   "known crash does not hide another crash",
 			known:  knownCrash,
