lot: Record all streams in progress, not those of one batch

What callers could see: on an instance with more than 512 streams in progress when a second software version appears, and with no new stream after that, the streams beyond the first 512 were not recorded. After a kill of all instances they were refused as unknown_version.

Cause: the recorder waits until the register is due, takes one batch, and waits again; the register was due again only with the next stream. Class: a queue that is drained in part and whose wakeup is used up.

The register now stays due while a batch was full. The new test recorded 4 of 10 streams before.

--- a/lot/lot_test.go
+++ b/lot/lot_test.go
@@ -100,6 +100,31 @@
 	c.Check(o.Unrecorded(10, now.Add(2*testLifetime)), qt.HasLen, 0)
 }
 
+// Guards against streams that stay unrecorded because more are in progress than one record holds.
+func TestRegisterIsDueUntilAllStreamsAreRecorded(t *testing.T) {
+	c := qt.New(t)
+	now := uptime.Now()
+	o := NewOrigins(testDeps())
+	const streams, batch = 10, 4
+	for n := range streams {
+		o.Register.Begin(Stream{Key: Key{byte(n)}}, now)
+	}
+	recorded := 0
+	for isDue := true; isDue; {
+		select {
+		case <-o.Register.Due():
+		default:
+			isDue = false
+			continue
+		}
+		for _, due := range o.Unrecorded(batch, now) {
+			o.Register.Recorded(due)
+			recorded += len(due)
+		}
+	}
+	c.Check(recorded, qt.Equals, streams)
+}
+
 func TestRegisterIsBounded(t *testing.T) {
 	c := qt.New(t)
 	r := NewOrigins(testDeps()).Register
--- a/lot/register.go
+++ b/lot/register.go
@@ -124,6 +124,8 @@
 	groups := map[Registration][]Stream{}
 	for _, s := range r.own {
 		if n == 0 {
+			// The others follow when these are recorded.
+			r.Wake()
 			break
 		}
 		if s.recorded || leaveOut(s.Service) {
