intake: Don't block all requests for a version without free capacity

What callers could see: at an instance where six streams that were taken up wait for servers of their version, requests for other versions got no turn, although there was room for them.

Cause: a request that finds no free capacity blocks the backlog for 10 ms, and the streams that are taken up get the next turns again. That was right while all requests competed for the same servers; since a request may need one version. Class: a queue that takes the wait of one consumer for that of all.

The backlog is blocked for each version apart now, and by requests that need none for all. Streams that go on within one answer say which version they need, too. The new test failed with the blocks of before.

--- a/firing/deps.go
+++ b/firing/deps.go
@@ -73,6 +73,9 @@
 	// Expedite moves the request ahead of all others with the next Wait and removes
 	// its time limits. The request is no longer best effort.
 	Expedite()
+	// Restrict records that the request needs engines of one version of their software, so
+	// that it doesn't keep the others waiting if there is no free capacity.
+	Restrict(version string)
 	// Placed records that the request was placed, and grants the next turn.
 	Placed()
 	// Close removes the request from the queue.
--- a/firing/queue.go
+++ b/firing/queue.go
@@ -61,6 +61,7 @@
 		LatestStart: limits.LatestStart,
 		RunTime:     req.RunTime,
 		Begun:       req.Begun,
+		Version:     req.Version,
 	})
 	if reason != nil {
 		return nil, reason
--- a/firing/runner.go
+++ b/firing/runner.go
@@ -197,6 +197,7 @@
 		if g.sent != nil && (!g.req.Strict || g.next > 0) {
 			g.turn.Expedite()
 		}
+		g.turn.Restrict(g.version)
 		return g.turn.Wait(ctx, d)
 	}
 	if g.req.Class != ClassDraft && time.Now().After(deadline) {
--- a/intake/backlog.go
+++ b/intake/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -67,6 +68,9 @@
 	// Begun is set for the rest of a response of which the caller has a part already. Such
 	// requests go before all others, and only LatestStart limits their wait.
 	Begun bool
+	// Version is the version of the engines' software that the request needs, or empty if any
+	// will do.
+	Version string
 }
 
 // Backlog queues requests until they can be placed on an engine. It handles bursts
@@ -87,20 +91,27 @@
 	// closed when it is set.
 	endAt         time.Time
 	limitsChanged chan struct{}
-	// blockedUntil is the time until which no free capacity is expected.
-	blockedUntil time.Time
-	unblockTimer *time.Timer
-	starts       startRate
+	// blocks maps versions of engines to the time until which no free capacity is expected
+	// there. The key "" stands for all engines.
+	blocks map[string]block
+	starts startRate
 	// lateStarts counts the starts of late requests.
 	lateStarts startRate
 	order      *backlogOrder
 }
 
+// block ends at a time, at which its timer grants the next turns.
+type block struct {
+	until time.Time
+	timer *time.Timer
+}
+
 // NewBacklog returns an empty backlog.
 func NewBacklog(cfg BacklogConfig) *Backlog {
 	b := &Backlog{
 		cfg:           cfg,
 		limitsChanged: make(chan struct{}),
+		blocks:        map[string]block{},
 		order:         newBacklogOrder(),
 	}
 	b.starts.windowStart = time.Now()
@@ -153,7 +164,9 @@
 func (b *Backlog) Wake() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.blockedUntil = time.Time{}
+	for version := range b.blocks {
+		b.unblockLocked(version)
+	}
 	b.grantLocked()
 }
 
@@ -163,6 +176,7 @@
 	t := &JobTurn{
 		backlog: b,
 		job:     job,
+		version: job.Version,
 		arrived: time.Now(),
 	}
 	if reason := t.await(ctx); reason != nil {
@@ -326,57 +340,84 @@
 	}
 }
 
-// blockLocked grants no turns until d has passed or Wake is called.
-func (b *Backlog) blockLocked(d time.Duration) {
-	b.blockedUntil = time.Now().Add(d)
-	if b.unblockTimer != nil {
-		b.unblockTimer.Stop()
+// blockLocked grants no turns to requests that need a version, or to any if it is empty, until
+// d has passed or Wake is called.
+func (b *Backlog) blockLocked(version string, d time.Duration) {
+	b.unblockLocked(version)
+	b.blocks[version] = block{
+		until: time.Now().Add(d),
+		timer: time.AfterFunc(d, b.grant),
+	}
+}
+
+func (b *Backlog) unblockLocked(version string) {
+	if last, ok := b.blocks[version]; ok {
+		last.timer.Stop()
+		delete(b.blocks, version)
 	}
-	b.unblockTimer = time.AfterFunc(d, b.Wake)
+}
+
+func (b *Backlog) isBlockedLocked(version string, now time.Time) bool {
+	return now.Before(b.blocks[version].until)
+}
+
+func (b *Backlog) grant() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.grantLocked()
 }
 
 // grantLocked grants turns until MaxPlacing requests are being placed. Late requests
-// get a turn only if no others wait.
+// get a turn only if no others can. Requests that wait for a version without free capacity
+// don't keep the others waiting.
 func (b *Backlog) grantLocked() {
-	if time.Now().Before(b.blockedUntil) {
+	now := time.Now()
+	maps.DeleteFunc(b.blocks, func(_ string, end block) bool { return !now.Before(end.until) })
+	if b.isBlockedLocked("", now) {
 		return
 	}
-	for b.placing < b.maxPlacingLocked() {
+	for {
+		onTime, late := b.unblockedLocked(b.onTime, now), b.unblockedLocked(b.late, now)
+		if b.placing >= b.maxPlacing(onTime) {
+			return
+		}
 		var t *JobTurn
 		switch {
-		case len(b.onTime) > 0:
-			t = b.popFairLocked()
-		case len(b.late) > 0:
-			t = b.late[0]
-			b.late = slices.Delete(b.late, 0, 1)
+		case len(onTime) > 0:
+			t = onTime[b.order.pick(onTime, now)]
+		case len(late) > 0:
+			t = late[0]
 		default:
 			return
 		}
+		b.removeLocked(t)
 		t.placing = true
 		b.placing++
 		close(t.granted)
 	}
 }
 
+// unblockedLocked returns the requests of a list that may find free capacity.
+func (b *Backlog) unblockedLocked(list []*JobTurn, now time.Time) []*JobTurn {
+	if len(b.blocks) == 0 {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), func(t *JobTurn) bool { return b.isBlockedLocked(t.version, now) })
+}
+
 // begunPlacingFactor is the factor by which more requests are placed at the same time while the
 // rest of a response waits, so that one without room doesn't keep the others waiting.
 const begunPlacingFactor = 3
 
-func (b *Backlog) maxPlacingLocked() int {
-	if len(b.onTime) > 0 && b.onTime[0].job.Begun {
+// maxPlacing returns how many requests are placed at the same time, of those on time that may
+// find free capacity.
+func (b *Backlog) maxPlacing(onTime []*JobTurn) int {
+	if len(onTime) > 0 && onTime[0].job.Begun {
 		return begunPlacingFactor * b.cfg.MaxPlacing
 	}
 	return b.cfg.MaxPlacing
 }
 
-// popFairLocked removes and returns the on-time request that is next.
-func (b *Backlog) popFairLocked() *JobTurn {
-	next := b.order.pick(b.onTime, time.Now())
-	t := b.onTime[next]
-	b.onTime = slices.Delete(b.onTime, next, next+1)
-	return t
-}
-
 // chargeLocked charges the cost of a start to its team and class. Late requests and those
 // that go first aren't charged.
 func (b *Backlog) chargeLocked(t *JobTurn) {
--- a/intake/backlogbegun_test.go
+++ b/intake/backlogbegun_test.go
@@ -131,3 +131,44 @@
 		wg.Wait()
 	})
 }
+
+// Load: streams are taken up whose version has no free capacity, while other versions have. Guards against requests of
+// other versions that get no turn because these streams wait.
+func TestBacklogVersionWithoutCapacityBlocksNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		b := NewBacklog(DefaultBacklogConfig())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for range 20 {
+			job := begunJob(1, time.Second)
+			job.Version = "full"
+			wg.Go(func() {
+				turn, reason := b.Enter(c.Context(), job)
+				for reason == nil {
+					reason = turn.Wait(c.Context(), 10*time.Millisecond)
+				}
+			})
+		}
+		// This one needs the version since its first token.
+		turn, reason := b.Enter(c.Context(), newJob(1, time.Second, 0))
+		c.Assert(reason == nil, qt.IsTrue)
+		turn.Restrict("full")
+		wg.Go(func() {
+			for reason == nil {
+				reason = turn.Wait(c.Context(), 10*time.Millisecond)
+			}
+		})
+		synctest.Wait()
+		start := time.Now()
+		other := begunJob(100, time.Second)
+		other.Version = "free"
+		for _, job := range []Job{other, newJob(100, time.Second, 0)} {
+			turn, reason := b.Enter(c.Context(), job)
+			c.Assert(reason == nil, qt.IsTrue)
+			c.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue, qt.Commentf("waited %v", time.Since(start)))
+			turn.Placed()
+			turn.Close()
+		}
+	})
+}
--- a/intake/jobturn.go
+++ b/intake/jobturn.go
@@ -14,8 +14,10 @@
 	arrived time.Time
 	granted chan struct{}
 	// The following fields are guarded by backlog.mu.
-	isLate    bool
-	placing   bool
+	isLate  bool
+	placing bool
+	// version is the version of the engines that the request needs, or empty if any will do.
+	version   string
 	expedited bool
 	started   bool
 	// teamStart and classStart are the virtual start times in fair queueing.
@@ -61,14 +63,23 @@
 	t.expedited = true
 }
 
+// Restrict records that the request needs engines of one version of their software from now
+// on.
+func (t *JobTurn) Restrict(version string) {
+	t.backlog.mu.Lock()
+	defer t.backlog.mu.Unlock()
+	t.version = version
+}
+
 // Wait gives up the turn because no free capacity was found and waits for another
-// one. No turns are granted until d has passed or Wake is called. A non-nil reason
-// means that the request was refused.
+// one. No turns are granted to requests that need the same version, or to any if the request
+// needs none, until d has passed or Wake is called. A non-nil reason means that the request
+// was refused.
 func (t *JobTurn) Wait(ctx context.Context, d time.Duration) *receipt.Reason {
 	b := t.backlog
 	b.mu.Lock()
 	b.endPlacingLocked(t)
-	b.blockLocked(d)
+	b.blockLocked(t.version, d)
 	b.mu.Unlock()
 	return t.await(ctx)
 }
--- a/intake/queue.go
+++ b/intake/queue.go
@@ -218,6 +218,9 @@
 	t.entry.BestEffort = false
 }
 
+// Restrict has no effect: a partition of the queue doesn't tell engines apart.
+func (t *Turn) Restrict(string) {}
+
 // BestEffort reports whether the request must leave some capacity free for others.
 func (t *Turn) BestEffort() bool { return t.entry.BestEffort }
 
