quotation: Use decode engines alone if their version has no prefill engines

What callers saw: during a release, streams that were taken up got 503 no_server as soon as the prefill engines of their version had left, though its decode engines were there (LOST). New requests were refused, too, if no two engines of one version were left to share them.

A decode worker of the platform computes the prompt itself if it gets no KV cache. Class: a rule that narrows a choice without a second way for what it leaves nothing to.

Both cases of the new test in package platform got 503 before. Pairs come first, and engines that are only busy are waited for.

--- a/quotation/config.go
+++ b/quotation/config.go
@@ -41,6 +41,10 @@
 	// PrefillInOtherRegions allows a prefill engine in another region than the decode
 	// engine. It requires links between regions that can carry KV caches.
 	PrefillInOtherRegions bool `json:"prefill_abroad"`
+	// DecodePrefillSpeed is the speed of prefills on decode engines as a fraction of that on prefill
+	// engines. If it is positive, a decode engine computes the prompt itself if there are no prefill
+	// engines of its version.
+	DecodePrefillSpeed float64 `json:"decode_prefill_speed"`
 	// Policy changes how engines are chosen.
 	Policy Policy `json:"policy"`
 }
--- a/quotation/place.go
+++ b/quotation/place.go
@@ -103,6 +103,9 @@
 		}
 		decodeFrom, hasDecode := earliestAdmission(m.decode[""], &pinned)
 		prefillFrom, hasPrefill := earliestAdmission(m.prefill[""], &pinned)
+		if v.prefillsAlone(m, &pinned) {
+			prefillFrom, hasPrefill = decodeFrom, hasDecode
+		}
 		if !hasDecode || !hasPrefill {
 			continue
 		}
@@ -145,20 +148,23 @@
 	return slices.ContainsFunc(m.versions, func(version string) bool {
 		pinned, ok := req.withVersion(version)
 		available := func(w *Worker) bool { return allowed(w, &pinned) && !w.failed(now) && !w.paused(v.now) }
-		return ok && slices.ContainsFunc(m.decode[region], available) && slices.ContainsFunc(m.prefill[region], available)
+		hasPrefill := ok && (v.prefillsAlone(m, &pinned) || slices.ContainsFunc(m.prefill[region], available))
+		return hasPrefill && slices.ContainsFunc(m.decode[region], available)
 	})
 }
 
-// placeInRegion chooses both engines, of the same version of their software.
+// placeInRegion chooses both engines, of the same version of their software. If there is no such
+// pair with free capacity, a decode engine whose version has no prefill engines gets the request alone.
 func (v view) placeInRegion(m *modelWorkers, req *Request, region string) (Run, bool) {
 	if req.KVRegion != "" {
 		region = req.KVRegion
 	}
 	remaining := *req
+	var alone *Worker
 	for range m.versions {
 		decode := v.chooseDecode(m.decode[region], &remaining)
 		if decode == nil {
-			return Run{}, false
+			break
 		}
 		prefillRegion := region
 		if prefillRegion == "" {
@@ -174,9 +180,30 @@
 			run.Decode = decode
 			return run, true
 		}
+		if alone == nil && v.prefillsAlone(m, &pinned) {
+			alone = decode
+		}
 		remaining = remaining.withoutVersion(decode.Version)
 	}
-	return Run{}, false
+	if alone == nil {
+		return Run{}, false
+	}
+	return v.estimateAlone(alone, req), true
+}
+
+// prefillsAlone reports whether the decode engines for a request compute the prompt, too, since
+// there are no prefill engines for it.
+func (v view) prefillsAlone(m *modelWorkers, req *Request) bool {
+	return v.cfg.DecodePrefillSpeed > 0 && !slices.ContainsFunc(m.prefill[""], func(w *Worker) bool { return allowed(w, req) })
+}
+
+// estimateAlone estimates the times of a request whose decode engine computes the prompt, too.
+func (v view) estimateAlone(decode *Worker, req *Request) Run {
+	run := v.estimatePrefill(decode, req, 0, decode)
+	run.Decode = decode
+	run.Compute = time.Duration(float64(run.Compute) / v.cfg.DecodePrefillSpeed)
+	run.KVBytes = 0
+	return run
 }
 
 // withVersion returns the request for engines of one version, or false if it is restricted to
--- a/quotation/versions_test.go
+++ b/quotation/versions_test.go
@@ -87,3 +87,45 @@
 	_, runs := placer.Place(req, now).(quotation.Run)
 	c.Check(runs, qt.IsTrue)
 }
+
+// Guards against streams that end although decode engines of their version are left, because its prefill engines have
+// gone.
+func TestPlaceOnDecodeEngineAlone(t *testing.T) {
+	c := qt.New(t)
+	cfg := quotation.DefaultConfig()
+	cfg.DecodePrefillSpeed = 0.5
+	// Only decode engines have v2.
+	servers := versionedEngines(24, func(i int) string {
+		if i%3 == 1 {
+			return "v2"
+		}
+		return "v1"
+	})
+	placer := quotation.NewPlacer(quotation.Deps{
+		Config:  cfg,
+		Servers: servers,
+	})
+	req := newRequest()
+	paired, ok := placer.Place(req, now).(quotation.Run)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(paired.Prefill.Role, qt.Not(qt.Equals), kiln.RoleDecode, qt.Commentf("pairs come first"))
+	req.Version = "v2"
+	run, ok := placer.Place(req, now).(quotation.Run)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(run.Decode.Version, qt.Equals, "v2")
+	c.Check(run.Prefill, qt.Equals, run.Decode)
+	c.Check(run.KVBytes, qt.Equals, int64(0))
+	c.Check(run.Compute, qt.Equals, 2*paired.Compute)
+	for i := range servers {
+		if servers[i].Version == "v2" {
+			servers[i].Load.SlotsUsed = 20
+		}
+	}
+	_, waits := quotation.NewPlacer(quotation.Deps{
+		Config:  cfg,
+		Servers: servers,
+	}).Place(req, now).(quotation.Wait)
+	c.Check(waits, qt.IsTrue, qt.Commentf("the engines are only busy"))
+	req.Version = "v3"
+	c.Check(placer.Place(req, now), qt.Equals, quotation.Decision(quotation.Refuse{Code: receipt.CodeNoServer}))
+}
