--- a/quotation/config.go
+++ b/quotation/config.go
@@ -86,6 +86,7 @@
 	p.Add(c.KVBytesPerToken > 0, "kv_bytes_per_token", c.KVBytesPerToken, "a number greater than 0")
 	p.Add(c.LinkBytesPerSecond > 0, "link_bytes_per_second", c.LinkBytesPerSecond, "a number greater than 0")
 	p.Add(c.CrossRegionBytesPerSecond >= 0, "cross_region_bytes_per_second", c.CrossRegionBytesPerSecond, "a number of at least 0")
+	p.Add(c.DecodePrefillSpeed >= 0 && c.DecodePrefillSpeed <= 1, "decode_prefill_speed", c.DecodePrefillSpeed, "a number from 0 to 1")
 	p.Positive("retry_ms", c.RetryMS)
 	p.Positive("full_ms", c.FullMS)
 	p.Positive("failed_ms", c.FailedMS)
