quotation: Don't prefill on decode engines what prefill engines failed

What callers could see: a request that all prefill engines had failed was sent to a decode engine alone, which computed its prompt a third time.

--- a/quotation/place.go
+++ b/quotation/place.go
@@ -192,9 +192,12 @@
 }
 
 // prefillsAlone reports whether the decode engines for a request compute the prompt, too, since
-// there are no prefill engines for it.
+// there are no prefill engines for it. Those that have failed the request count as well: another
+// prefill is no work for a decode engine.
 func (v view) prefillsAlone(m *modelWorkers, req *Request) bool {
-	return v.cfg.DecodePrefillSpeed > 0 && !slices.ContainsFunc(m.prefill[""], func(w *Worker) bool { return allowed(w, req) })
+	first := *req
+	first.Excluded = nil
+	return v.cfg.DecodePrefillSpeed > 0 && !slices.ContainsFunc(m.prefill[""], func(w *Worker) bool { return allowed(w, &first) })
 }
 
 // estimateAlone estimates the times of a request whose decode engine computes the prompt, too.
--- a/quotation/versions_test.go
+++ b/quotation/versions_test.go
@@ -109,6 +109,14 @@
 	paired, ok := placer.Place(req, now).(quotation.Run)
 	c.Assert(ok, qt.IsTrue)
 	c.Check(paired.Prefill.Role, qt.Not(qt.Equals), kiln.RoleDecode, qt.Commentf("pairs come first"))
+	req.Version = "v1"
+	for _, server := range servers {
+		if server.Role != kiln.RoleDecode {
+			req.Excluded = append(req.Excluded, server.Address)
+		}
+	}
+	c.Check(placer.Place(req, now), qt.Equals, quotation.Decision(quotation.Refuse{Code: receipt.CodeNoServer}), qt.Commentf("all prefill engines failed the request"))
+	req.Excluded = nil
 	req.Version = "v2"
 	run, ok := placer.Place(req, now).(quotation.Run)
 	c.Assert(ok, qt.IsTrue)
